feat(claim): at-most-once claims in the platform's object API

Cause: a licence grant or award posting must run at most once through retries at any daemon, lost answers and outages. Change: claim controller with batched conditional updates per shard, outcome records and queries; Promela model spec/claim.pml with four broken variants; object store for tests.

--- /dev/null
+++ b/spec/claim.pml
@@ -0,0 +1,186 @@
+/* Claim of one non-idempotent request. Two daemons get the same key (a caller that retries at
+ * another daemon). The store holds one entry with a version. Writes are conditional; an answer may
+ * be lost after or before the effect, and a write may arrive late. A daemon may crash at any step
+ * and starts again without memory. See spec/README.md for the functions that are the steps.
+ */
+// broken: BROKEN_NO_CONDITION
+// broken: BROKEN_ASSUME_OWNED
+// broken: BROKEN_RELEASE_AFTER_SEND
+// broken: BROKEN_TAKE_OVER
+
+#define ABSENT 0
+#define CLAIMED 1
+#define DONE 2
+#define NOT_RUN 3
+#define DAEMONS 2
+#define RESTARTS 1 /* crashes of one daemon */
+
+byte state = ABSENT;   /* the store's entry */
+byte owner = 0;        /* attempt number of the entry, 0 = none */
+byte version = 0;
+byte runs = 0;         /* executions at the backend server */
+byte next_attempt = 1;
+bool told_not_run[8];  /* by attempt number */
+bool ran[8];
+
+/* A late write of a crashed or timed-out daemon: attempt and the version it is conditional on. */
+byte late_attempt = 0;
+byte late_version = 0;
+
+inline write (new_state, new_owner, ok)
+{
+  atomic {
+    ok = false;
+#ifdef BROKEN_NO_CONDITION
+    if
+    :: true ->
+#else
+    if
+    :: version == seen ->
+#endif
+       state = new_state; owner = new_owner; version++; ok = true
+#ifndef BROKEN_NO_CONDITION
+    :: else -> skip
+#endif
+    fi
+  }
+}
+
+active [DAEMONS] proctype daemon ()
+{
+  byte attempt = 0;
+  byte seen = 0;      /* version read */
+  byte seen_state = ABSENT;
+  byte seen_owner = 0;
+  byte crashes = 0;
+  byte tries = 0;
+  bool ok = false;
+  bool sent = false;
+  bool unsettled = false;
+
+start:
+  skip;
+  d_step { attempt = next_attempt; next_attempt++; sent = false; unsettled = false; tries = 0 }
+read_shard:
+  tries++;
+  if
+  :: tries > 3 -> goto give_up
+  :: else -> d_step { seen = version; seen_state = state; seen_owner = owner }
+  fi;
+  if
+  :: seen_state == CLAIMED && seen_owner == attempt -> goto owned
+#ifdef BROKEN_TAKE_OVER
+  :: seen_state == CLAIMED && seen_owner != attempt -> skip     /* as if its owner were dead */
+#else
+  :: seen_state == CLAIMED && seen_owner != attempt -> goto end /* told "unknown" */
+#endif
+  :: seen_state == DONE -> goto end                             /* told the recorded outcome */
+  :: else -> skip
+  fi;
+  if
+  :: version < 6 -> write (CLAIMED, attempt, ok)
+  :: else -> goto end
+  fi;
+  if
+  :: ok -> goto owned                      /* acknowledged */
+  :: !ok -> goto read_shard                /* conflict */
+  :: true ->                               /* the answer was lost */
+     unsettled = true;
+#ifdef BROKEN_ASSUME_OWNED
+     goto owned
+#else
+     goto read_shard
+#endif
+  :: true ->                               /* the write is on its way and may arrive later */
+     atomic {
+       if
+       :: !ok && late_attempt == 0 ->
+          late_attempt = attempt; late_version = seen; unsettled = true
+       :: else -> skip
+       fi
+     };
+     goto read_shard
+  fi;
+
+owned:
+  if
+  :: crashes < RESTARTS -> crashes++; goto start  /* the entry stays CLAIMED */
+  :: true -> skip
+  fi;
+  if
+  :: true -> sent = true; runs++; ran[attempt] = true
+  :: true -> skip                                 /* no backend server took it */
+  fi;
+  if
+  :: crashes < RESTARTS -> crashes++; goto start
+  :: true -> skip
+  fi;
+#ifdef BROKEN_RELEASE_AFTER_SEND
+  if
+  :: true -> told_not_run[attempt] = true
+#else
+  if
+  :: !sent -> told_not_run[attempt] = true
+#endif
+     d_step { seen = version };
+     if
+     :: owner == attempt -> write (NOT_RUN, attempt, ok)
+     :: else -> skip
+     fi
+  :: sent ->
+     d_step { seen = version };
+     if
+     :: owner == attempt -> write (DONE, attempt, ok)
+     :: else -> skip
+     fi
+  fi;
+  goto end;
+
+give_up:
+  /* Without an answer: the caller is told "unknown" and this attempt never runs. A write with an
+   * unknown effect is fenced by the entry "not run", which also moves the version. */
+  if
+  :: !unsettled -> goto end
+  :: else -> skip
+  fi;
+  atomic {
+    seen = version;
+    if
+    :: owner == attempt || state == ABSENT -> state = NOT_RUN; owner = attempt; version++
+    :: else -> skip
+    fi
+  };
+
+end:
+  skip
+}
+
+/* Delivers the late write. */
+active proctype network ()
+{
+  end_network:
+  do
+  :: atomic {
+       late_attempt != 0 ->
+       if
+       :: late_version == version -> state = CLAIMED; owner = late_attempt; version++
+       :: else -> skip
+       fi;
+       late_attempt = 0
+     }
+  od
+}
+
+/* P4 and P3, checked in every state. */
+active proctype monitor ()
+{
+  byte i;
+
+  end_monitor:
+  do
+  :: atomic {
+       (runs > 1 || (told_not_run[1] && ran[1]) || (told_not_run[2] && ran[2])
+        || (told_not_run[3] && ran[3]) || (told_not_run[4] && ran[4])) -> assert (false)
+     }
+  od
+}
--- a/src/tarragontrack/board/board.c
+++ b/src/tarragontrack/board/board.c
@@ -89,7 +89,8 @@
   return TT_OK;
 }
 
-/// Tells the controllers of requests that got their outcome, and frees settled ones.
+/// Tells the controllers of requests that got their outcome, and frees settled ones. Their answers
+/// may need another pass.
 static void
 reap_requests (TtBoard *board, int64_t now_us)
 {
@@ -100,6 +101,7 @@
       if (!request->finish_told)
         {
           request->finish_told = true;
+          board->dirty = true;
           TT_LIST_FOREACH (&board->controllers, c)
             {
               TtController *controller = TT_CONTAINER_OF (c, TtController, link);
@@ -133,10 +135,10 @@
           if (controller->run != NULL)
             controller->run (controller->context, board, now_us);
         }
+      reap_requests (board, now_us);
       if (!board->dirty)
         break;
     }
-  reap_requests (board, now_us);
 }
 
 TtAction *
--- a/src/tarragontrack/board/board.h
+++ b/src/tarragontrack/board/board.h
@@ -24,7 +24,7 @@
 /// ARGUMENTS  now_us: present time in µs on a clock that goes on during a pause
 /// BOUNDS     `on_event` of each controller once, then at most TT_BOARD_MAX_PASSES passes of
 ///            all `run` callbacks while a pass leaves `dirty` set
-/// NOTES      at the end `on_finished` is called for each request that got its outcome, and
+/// NOTES      after each pass `on_finished` is called for each request that got its outcome, and
 ///            finished requests without an unsettled claim are freed
 void tt_board_step (TtBoard *board, const TtEvent *event, int64_t now_us);
 
--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -30,7 +30,7 @@
   void (*close) (void *context, TtBoard *board); ///< frees the section
   void (*on_event) (void *context, TtBoard *board, const TtEvent *event, int64_t now_us);
   void (*run) (void *context, TtBoard *board, int64_t now_us);
-  /// Called once for each request, at the end of the step in which it got its outcome.
+  /// Called once for each request, after the pass in which it got its outcome.
   void (*on_finished) (void *context, TtBoard *board, TtRequest *request, int64_t now_us);
 } TtController;
 
@@ -68,6 +68,8 @@
   TtBoardConfig config;
   uint64_t domain_id;
   TtRng rng;
+  int64_t wall_s; ///< wall clock, set by the front end; for records that people read and their
+                  ///< retention, never for deadlines
   uint64_t last_id;
   bool dirty; ///< a controller wants another pass in this step
   TtList controllers;
--- a/src/tarragontrack/board/claim_defs.h
+++ b/src/tarragontrack/board/claim_defs.h
@@ -8,9 +8,10 @@
 
 enum
 {
-  TT_CLAIM_SHARDS = 256,        ///< objects claims/SHARD
-  TT_CLAIM_OUTCOME_MAX = 1024,  ///< bytes of a recorded answer; longer ones are cut and marked
-  TT_CLAIM_SHARD_ENTRIES = 4096 ///< entries an object may hold; more are refused as "unknown"
+  TT_CLAIM_SHARDS = 256,         ///< objects claims/SHARD
+  TT_CLAIM_OUTCOME_MAX = 1024,   ///< bytes of a recorded answer; longer ones are cut and marked
+  TT_CLAIM_SHARD_ENTRIES = 8192, ///< entries an object may hold; more are refused
+  TT_CLAIM_QUERIES = 64          ///< open outcome queries of one daemon
 };
 
 typedef enum
@@ -30,7 +31,7 @@
   TtClaimState state;
   int64_t written_s; ///< owner's wall clock, for retention only
   uint16_t status;   ///< HTTP status of the recorded answer
-  bool outcome_cut;  ///< the answer was longer than TT_CLAIM_OUTCOME_MAX
+  bool outcome_cut;  ///< the answer was longer than TT_CLAIM_OUTCOME_MAX or was not kept
   uint32_t outcome_size;
   char *outcome; ///< owned by the entry's holder; NULL if empty
 } TtClaimEntry;
@@ -38,18 +39,24 @@
 typedef enum
 {
   TT_CLAIM_STEP_NONE,     ///< the request needs no claim
-  TT_CLAIM_STEP_WAITING,  ///< waits for the shard's next read or write
-  TT_CLAIM_STEP_WRITING,  ///< part of the open write
-  TT_CLAIM_STEP_OWNED,    ///< may be dispatched, once
+  TT_CLAIM_STEP_WAITING,  ///< its claim waits for the shard's next read or write
+  TT_CLAIM_STEP_WRITING,  ///< its claim is part of the open write
+  TT_CLAIM_STEP_OWNED,    ///< may be dispatched
   TT_CLAIM_STEP_SETTLING, ///< its final state waits to be written
   TT_CLAIM_STEP_SETTLED
 } TtClaimStep;
 
+/// Claim of one request.
 typedef struct
 {
   TtLink link; ///< on TtClaimShard.waiting or TtClaimShard.writing
   TtClaimStep step;
   TtId128 attempt;
-  int64_t owned_until_us; ///< end of the dispatch window
-  bool sent;              ///< an attempt of this claim began to send
+  bool unsettled;           ///< a write of the claim had no answer; its effect is unknown
+  uint32_t unsent_failures; ///< attempts that failed before a byte was sent
+  TtClaimState final_state; ///< SETTLING: DONE or NOT_RUN
+  uint16_t status;          ///< of the answer to record
+  bool outcome_cut;
+  uint32_t outcome_size;
+  char *outcome; ///< owned; NULL if empty
 } TtClaimRequest;
--- a/src/tarragontrack/board/claim_section_defs.h
+++ b/src/tarragontrack/board/claim_section_defs.h
@@ -3,30 +3,46 @@
 
 #include "tarragontrack/board/claim_defs.h"
 #include "tarragontrack/board/list.h"
+#include "tarragontrack/board/object_defs.h"
 #include <stdbool.h>
 #include <stdint.h>
 
-/// A shard with requests that wait for it.
+/// A caller's question for a recorded outcome.
+typedef struct
+{
+  TtLink link; ///< on TtClaimShard.queries or TtClaimSection.free_queries
+  uint64_t request_id;
+  TtId128 key;
+  int64_t asked_us;
+} TtClaimQuery;
+
+/// One object claims/SHARD as far as this daemon works on it. At most one call is open.
 typedef struct
 {
   TtLink link; ///< on TtClaimSection.active
   uint32_t index;
-  TtList waiting; ///< TtClaimRequest.link
-  TtList writing; ///< part of the open update
+  TtList waiting; ///< TtClaimRequest.link: claims and final states to write
+  TtList writing; ///< TtClaimRequest.link: part of the open write
+  TtList queries; ///< TtClaimQuery.link
+  bool known;     ///< `entries` is the object's content at `version`
   uint64_t version;
-  bool known; ///< `entries` is the object's content at `version`
+  int64_t read_us; ///< when `entries` was last read
   TtClaimEntry *entries;
   uint32_t count;
   uint32_t capacity;
-  uint64_t call; ///< open platform call; 0 = none
-  bool call_is_write;
+  uint64_t call;     ///< open platform call; 0 = none
+  uint32_t failures; ///< calls without an answer in a row, for the backoff
   int64_t next_try_us;
   int64_t used_us;
+  TtObject object; ///< content of the open write
 } TtClaimShard;
 
-/// BOUNDS     TT_CLAIM_SHARDS shards; the entries of the least recently used ones are dropped
+/// BOUNDS     TT_CLAIM_SHARDS shards; the entries of a shard are dropped when it is idle.
+///            TT_CLAIM_QUERIES open queries; more are answered "unknown".
 typedef struct
 {
   TtList active;
   TtClaimShard *shards;
+  TtList free_queries;
+  TtClaimQuery *queries;
 } TtClaimSection;
--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -13,6 +13,7 @@
   TT_EVENT_TICK,             ///< at least every TT_TICK_US
   TT_EVENT_REQUEST,          ///< a request arrived: `request`
   TT_EVENT_CALLER_CLOSED,    ///< the caller went away: `request_id`
+  TT_EVENT_OUTCOME_QUERY,    ///< a caller asks for a recorded outcome: `outcome_query`
   TT_EVENT_ATTEMPT_SENT,     ///< the first byte was handed to the connection: `attempt`
   TT_EVENT_ATTEMPT_PROGRESS, ///< part of an answer arrived: `attempt`
   TT_EVENT_ATTEMPT_DONE,     ///< the whole answer arrived: `attempt`
@@ -25,6 +26,13 @@
   TT_EVENT_DRAIN             ///< the process was asked to stop
 } TtEventType;
 
+/// Answered by a REPLY action with `request_id`.
+typedef struct
+{
+  uint64_t request_id; ///< from tt_board_next_id()
+  TtId128 key;         ///< hash of client account and Idempotency-Key
+} TtOutcomeQuery;
+
 typedef struct
 {
   uint64_t attempt_id;
@@ -77,6 +85,7 @@
   {
     const TtRequestSpec *request;
     uint64_t request_id;
+    TtOutcomeQuery outcome_query;
     TtAttemptEvent attempt;
     TtLoadEvent load;
     TtCacheEvent cache;
--- a/src/tarragontrack/board/request.c
+++ b/src/tarragontrack/board/request.c
@@ -186,12 +186,14 @@
     }
 }
 
-void
+TtReplyAction *
 tt_request_finish (TtBoard *board, TtRequest *request, TtOutcome outcome, uint32_t status,
                    uint32_t retry_after_ms, const TtError *error)
 {
+  TtReplyAction *reply = NULL;
+
   if (request->outcome != TT_OUTCOME_NONE)
-    return;
+    return NULL;
   request->outcome = outcome;
   tt_board_count (board, outcome_counter (outcome), 1);
   TT_LIST_FOREACH (&request->attempts, it)
@@ -202,15 +204,17 @@
 
       if (action != NULL)
         {
-          action->reply.request_id = request->spec.request_id;
-          action->reply.outcome = outcome;
-          action->reply.status = status;
-          action->reply.retry_after_ms = retry_after_ms;
+          reply = &action->reply;
+          reply->request_id = request->spec.request_id;
+          reply->outcome = outcome;
+          reply->status = status;
+          reply->retry_after_ms = retry_after_ms;
           if (error != NULL)
-            action->reply.error = *error;
+            reply->error = *error;
         }
     }
   tt_request_set_stage (board, request, TT_STAGE_FINISHED);
+  return reply;
 }
 
 void
--- a/src/tarragontrack/board/request.h
+++ b/src/tarragontrack/board/request.h
@@ -40,9 +40,10 @@
 /// cancelled; the first call wins
 ///
 /// ARGUMENTS  status: HTTP status for the caller if nothing was relayed; error: may be NULL
-/// NOTES      for TT_OUTCOME_COMPLETE no REPLY action is appended: the answer was relayed
-void tt_request_finish (TtBoard *board, TtRequest *request, TtOutcome outcome, uint32_t status,
-                        uint32_t retry_after_ms, const TtError *error);
+/// RETURN     the REPLY action, or NULL: for TT_OUTCOME_COMPLETE the answer was relayed, and a
+///            request that has an outcome keeps it
+TtReplyAction *tt_request_finish (TtBoard *board, TtRequest *request, TtOutcome outcome,
+                                  uint32_t status, uint32_t retry_after_ms, const TtError *error);
 
 /// Frees a finished request whose owners (claim, admit) are done with it.
 void tt_request_free (TtBoard *board, TtRequest *request);
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -34,7 +34,7 @@
     {
       (void) tt_error_set (&error, TT_E_NOT_FOUND, TT_STEP_ADMIT, spec->service,
                            "no document in force has this service");
-      tt_request_finish (board, request, TT_OUTCOME_INVALID, 404, 0, &error);
+      (void) tt_request_finish (board, request, TT_OUTCOME_INVALID, 404, 0, &error);
     }
 }
 
--- a/src/tarragontrack/control/claim.c
+++ b/src/tarragontrack/control/claim.c
@@ -1,8 +1,458 @@
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/claim_query.h"
+#include "tarragontrack/control/claim_shard.h"
 #include "tarragontrack/control/controllers.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RETRY_MIN_US (50 * TT_MILLISECOND_US)
+#define RETRY_MAX_US (2 * TT_SECOND_US)
+#define IDLE_US (2 * TT_SECOND_US) ///< an idle shard's entries are dropped after this
+#define RETRY_AFTER_MS 1000
+
+/// Allocates the shards and queries.
+static int
+open_claims (void *context, TtBoard *board)
+{
+  TtClaimSection *section = &board->claim;
+
+  (void) context;
+  tt_list_init (&section->active);
+  tt_list_init (&section->free_queries);
+  section->shards = calloc (TT_CLAIM_SHARDS, sizeof *section->shards);
+  section->queries = calloc (TT_CLAIM_QUERIES, sizeof *section->queries);
+  if (section->shards == NULL || section->queries == NULL)
+    return TT_E_NO_MEMORY;
+  for (uint32_t i = 0; i < TT_CLAIM_SHARDS; i++)
+    {
+      section->shards[i].index = i;
+      tt_list_init (&section->shards[i].waiting);
+      tt_list_init (&section->shards[i].writing);
+      tt_list_init (&section->shards[i].queries);
+    }
+  for (uint32_t i = 0; i < TT_CLAIM_QUERIES; i++)
+    tt_list_append (&section->free_queries, &section->queries[i].link);
+  return TT_OK;
+}
+
+static void
+close_claims (void *context, TtBoard *board)
+{
+  (void) context;
+  for (uint32_t i = 0; board->claim.shards != NULL && i < TT_CLAIM_SHARDS; i++)
+    tt_claim_shard_drop (&board->claim.shards[i]);
+  for (uint32_t i = 0; i < board->requests.count; i++)
+    if (board->requests.pool[i].stage != TT_STAGE_FREE)
+      free (board->requests.pool[i].claim.outcome);
+  free (board->claim.shards);
+  free (board->claim.queries);
+}
+
+/// Ends a request with an error that names its shard's object as the peer.
+static TtReplyAction *
+end_request (TtBoard *board, TtRequest *request, TtOutcome outcome, uint32_t status, int code,
+             const char *detail)
+{
+  TtError error = { 0 };
+  char peer[TT_PEER_MAX];
+
+  (void) snprintf (peer, sizeof peer, "claims/%u",
+                   (unsigned) (request->spec.idempotency_key.low % TT_CLAIM_SHARDS));
+  (void) tt_error_set (&error, code, TT_STEP_CLAIM, peer, "%s", detail);
+  return tt_request_finish (board, request, outcome, status, status >= 500 ? RETRY_AFTER_MS : 0,
+                            &error);
+}
+
+/// Ends a request whose key another attempt has claimed or settled.
+static void
+answer_from_entry (TtBoard *board, TtRequest *request, const TtClaimEntry *entry)
+{
+  request->claim.step = TT_CLAIM_STEP_SETTLED;
+  if (entry->body_hash != request->spec.body_hash)
+    (void) end_request (board, request, TT_OUTCOME_INVALID, 422, TT_E_CONFLICT,
+                        "this idempotency key was used with another body");
+  else if (entry->state == TT_CLAIM_DONE)
+    {
+      TtReplyAction *reply = end_request (board, request, TT_OUTCOME_RECORDED, entry->status, TT_OK,
+                                          entry->outcome_cut ? "recorded answer was cut" : "");
+
+      if (reply != NULL)
+        {
+          reply->body = entry->outcome;
+          reply->body_size = entry->outcome_size;
+        }
+    }
+  else
+    (void) end_request (board, request, TT_OUTCOME_UNKNOWN, 409, TT_E_CONFLICT,
+                        "another attempt under this key runs or ended without a record; ask "
+                        "/v1/outcomes later");
+}
+
+static void settle_owned (TtBoard *board, TtRequest *request, int64_t now_us);
+
+/// Makes a request the owner of its claim. One that ended meanwhile gives the claim back.
+static void
+own_claim (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  request->claim.step = TT_CLAIM_STEP_OWNED;
+  tt_board_count (board, TT_COUNT_CLAIMS, 1);
+  if (request->outcome != TT_OUTCOME_NONE)
+    settle_owned (board, request, now_us);
+  else
+    tt_request_set_stage (board, request, TT_STAGE_READY);
+}
+
+/// Decides one waiting claim on a known shard.
+///
+/// RETURN     true if the shard must be written
+static bool
+decide_claim (TtBoard *board, TtClaimShard *shard, TtRequest *request, int64_t now_us)
+{
+  TtClaimEntry *entry = tt_claim_shard_find (shard, request->spec.idempotency_key);
+  int code;
+
+  if (entry != NULL && entry->state == TT_CLAIM_CLAIMED
+      && tt_id128_equal (entry->attempt, request->claim.attempt))
+    {
+      // The answer to the write was lost, and the write took effect.
+      tt_list_remove (&shard->waiting, &request->claim.link);
+      own_claim (board, request, now_us);
+      return false;
+    }
+  if (entry != NULL && entry->state == TT_CLAIM_CLAIMED && shard->read_us < request->arrived_us)
+    {
+      shard->known = false;
+      return false;
+    }
+  if (entry != NULL && entry->state != TT_CLAIM_NOT_RUN)
+    {
+      tt_list_remove (&shard->waiting, &request->claim.link);
+      answer_from_entry (board, request, entry);
+      return false;
+    }
+  code = tt_claim_shard_claim (shard, request, board->wall_s);
+  tt_list_remove (&shard->waiting, &request->claim.link);
+  if (code < 0)
+    {
+      request->claim.step = TT_CLAIM_STEP_SETTLED;
+      tt_board_log (board, TT_LOG_CLAIM_SHARD_FULL, "shard=%u entries=%u", shard->index,
+                    shard->count);
+      (void) end_request (board, request, TT_OUTCOME_NOT_RUN, 507, code, "the claim shard is full");
+      return false;
+    }
+  request->claim.step = TT_CLAIM_STEP_WRITING;
+  tt_list_append (&shard->writing, &request->claim.link);
+  return true;
+}
+
+/// Decides all waiting work of a known shard.
+///
+/// RETURN     true if the shard must be written
+static bool
+decide_waiting (TtBoard *board, TtClaimShard *shard, int64_t now_us)
+{
+  bool write = false;
+
+  TT_LIST_FOREACH (&shard->waiting, it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, claim.link);
+
+      if (request->claim.step == TT_CLAIM_STEP_WAITING)
+        write = decide_claim (board, shard, request, now_us) || write;
+      else if (tt_claim_shard_settle (shard, request, board->wall_s) == TT_OK)
+        {
+          tt_list_remove (&shard->waiting, &request->claim.link);
+          tt_list_append (&shard->writing, &request->claim.link);
+          write = true;
+        }
+    }
+  return write;
+}
+
+/// Starts the call that the shard's work needs.
+static void
+advance_shard (TtBoard *board, TtClaimShard *shard, int64_t now_us)
+{
+  char key[TT_KEY_MAX];
+
+  (void) snprintf (key, sizeof key, "claims/%u", shard->index);
+  if (shard->known)
+    {
+      bool write;
+
+      tt_claim_shard_prune (shard, board->wall_s);
+      write = decide_waiting (board, shard, now_us);
+      if (write)
+        {
+          shard->object.type = TT_OBJECT_CLAIMS;
+          shard->object.claims
+              = (TtClaimsObject){ .entries = shard->entries, .count = shard->count };
+          shard->call = tt_board_call (board, TT_PLATFORM_PUT, key, shard->version, &shard->object);
+          tt_board_count (board, TT_COUNT_CLAIM_WRITES, 1);
+          return;
+        }
+    }
+  tt_claim_query_answer (board, shard, now_us);
+  if (shard->waiting.count > 0 || shard->queries.count > 0)
+    shard->call = tt_board_call (board, TT_PLATFORM_GET, key, 0, NULL);
+}
+
+/// Ends a waiting claim whose deadline has passed. What it may say depends on what is known.
+static void
+expire_claim (TtBoard *board, TtClaimShard *shard, TtRequest *request, int64_t now_us)
+{
+  TtClaimRequest *claim = &request->claim;
+
+  tt_list_remove (&shard->waiting, &claim->link);
+  if (!claim->unsettled)
+    {
+      claim->step = TT_CLAIM_STEP_SETTLED;
+      (void) end_request (board, request, TT_OUTCOME_UNKNOWN, 503, TT_E_UNAVAILABLE,
+                          "the claim could not be checked; this attempt did not run, an earlier "
+                          "one may have");
+      return;
+    }
+  // A write with an unknown effect: this attempt never runs, so the entry becomes "not run".
+  claim->step = TT_CLAIM_STEP_SETTLING;
+  claim->final_state = TT_CLAIM_NOT_RUN;
+  tt_board_log (board, TT_LOG_CLAIM_UNCERTAIN, "request=%llu shard=%u",
+                (unsigned long long) request->spec.request_id, shard->index);
+  (void) end_request (board, request, TT_OUTCOME_UNKNOWN, 503, TT_E_TIMEOUT,
+                      "the claim's write has no answer; this attempt did not run, an earlier one "
+                      "may have");
+  tt_list_append (&shard->waiting, &claim->link);
+  shard->used_us = now_us;
+}
+
+static void
+expire_claims (TtBoard *board, TtClaimShard *shard, int64_t now_us)
+{
+  TT_LIST_FOREACH (&shard->waiting, it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, claim.link);
+
+      if (request->claim.step == TT_CLAIM_STEP_WAITING
+          && (now_us >= request->deadline_us || request->outcome != TT_OUTCOME_NONE))
+        expire_claim (board, shard, request, now_us);
+    }
+}
+
+/// Takes the requests that `admit` released into CLAIMING.
+static void
+take_requests (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_CLAIMING], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      if (request->claim.step != TT_CLAIM_STEP_NONE)
+        continue;
+      request->claim.step = TT_CLAIM_STEP_WAITING;
+      request->claim.attempt = tt_rng_id128 (&board->rng);
+      tt_list_append (
+          &tt_claim_shard_activate (board, request->spec.idempotency_key, now_us)->waiting,
+          &request->claim.link);
+    }
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context;
+  take_requests (board, now_us);
+  TT_LIST_FOREACH (&board->claim.active, it)
+    {
+      TtClaimShard *shard = TT_CONTAINER_OF (it, TtClaimShard, link);
+
+      if (shard->call != 0)
+        continue;
+      expire_claims (board, shard, now_us);
+      if (shard->waiting.count == 0 && shard->queries.count == 0)
+        {
+          if (now_us - shard->used_us > IDLE_US)
+            {
+              tt_claim_shard_drop (shard);
+              tt_list_remove (&board->claim.active, &shard->link);
+            }
+          continue;
+        }
+      if (now_us >= shard->next_try_us)
+        advance_shard (board, shard, now_us);
+      else
+        tt_claim_query_answer (board, shard, now_us);
+    }
+}
+
+/// Frees what a settled request holds.
+static void
+settle_request (TtRequest *request)
+{
+  request->claim.step = TT_CLAIM_STEP_SETTLED;
+  free (request->claim.outcome);
+  request->claim.outcome = NULL;
+}
+
+/// Starts to write the final state of an owned claim whose request has ended, if it is known.
+static void
+settle_owned (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  TtClaimRequest *claim = &request->claim;
+
+  if (request->outcome == TT_OUTCOME_COMPLETE)
+    claim->final_state = TT_CLAIM_DONE;
+  else if (request->attempt_count == claim->unsent_failures)
+    claim->final_state = TT_CLAIM_NOT_RUN;
+  else
+    {
+      // It may have run: the entry stays CLAIMED, and nobody runs it again.
+      settle_request (request);
+      return;
+    }
+  claim->step = TT_CLAIM_STEP_SETTLING;
+  tt_list_append (&tt_claim_shard_activate (board, request->spec.idempotency_key, now_us)->waiting,
+                  &claim->link);
+}
+
+/// Moves the work of a write without a sure effect back to the waiting list, in its order.
+static void
+undo_write (TtClaimShard *shard, bool effect_unknown)
+{
+  while (shard->writing.count > 0)
+    {
+      TtLink *link = shard->writing.head.prev;
+      TtRequest *request = TT_CONTAINER_OF (link, TtRequest, claim.link);
+
+      tt_list_remove (&shard->writing, link);
+      if (request->claim.step == TT_CLAIM_STEP_WRITING)
+        {
+          request->claim.step = TT_CLAIM_STEP_WAITING;
+          request->claim.unsettled = request->claim.unsettled || effect_unknown;
+        }
+      tt_list_prepend (&shard->waiting, link);
+    }
+  shard->known = false;
+}
+
+/// The write took effect.
+static void
+finish_write (TtBoard *board, TtClaimShard *shard, uint64_t version, int64_t now_us)
+{
+  TtLink *link;
+
+  shard->version = version;
+  while ((link = tt_list_pop (&shard->writing)) != NULL)
+    {
+      TtRequest *request = TT_CONTAINER_OF (link, TtRequest, claim.link);
+
+      if (request->claim.step == TT_CLAIM_STEP_SETTLING)
+        settle_request (request);
+      else
+        own_claim (board, request, now_us);
+    }
+}
+
+/// Longer pauses after each call without an answer, spread so that daemons do not return at once.
+static int64_t
+backoff_us (TtBoard *board, TtClaimShard *shard)
+{
+  int64_t pause_us = RETRY_MIN_US;
+
+  for (uint32_t i = 1; i < shard->failures && pause_us < RETRY_MAX_US; i++)
+    pause_us *= 2;
+  return pause_us + (int64_t) tt_rng_below (&board->rng, (uint64_t) pause_us);
+}
+
+static void
+on_platform (TtBoard *board, const TtPlatformEvent *event, int64_t now_us)
+{
+  TtClaimShard *shard = NULL;
+  bool write = event->op == TT_PLATFORM_PUT;
+
+  TT_LIST_FOREACH (&board->claim.active, it)
+    if (TT_CONTAINER_OF (it, TtClaimShard, link)->call == event->call_id)
+      shard = TT_CONTAINER_OF (it, TtClaimShard, link);
+  if (shard == NULL)
+    return;
+  shard->call = 0;
+  shard->used_us = now_us;
+  if (event->code == TT_OK || (event->code == TT_E_NOT_FOUND && !write))
+    {
+      shard->failures = 0;
+      if (write)
+        finish_write (board, shard, event->version, now_us);
+      else
+        (void) tt_claim_shard_load (shard, event->object != NULL ? &event->object->claims : NULL,
+                                    event->version, now_us);
+    }
+  else
+    {
+      undo_write (shard, event->code == TT_E_TIMEOUT);
+      if (event->code != TT_E_CONFLICT)
+        {
+          shard->failures++;
+          shard->next_try_us = now_us + backoff_us (board, shard);
+          tt_board_count (board, TT_COUNT_PLATFORM_ERRORS, 1);
+        }
+    }
+  board->dirty = true;
+}
+
+/// Notes what an attempt's answer means for the record.
+static void
+on_attempt (TtBoard *board, const TtEvent *event)
+{
+  TtAttempt *attempt = tt_attempt_find (board, event->attempt.attempt_id);
+  TtClaimRequest *claim;
+  uint32_t size = event->attempt.body_size;
+
+  if (attempt == NULL || attempt->request->claim.step != TT_CLAIM_STEP_OWNED)
+    return;
+  claim = &attempt->request->claim;
+  if (event->type == TT_EVENT_ATTEMPT_FAILED && !event->attempt.sent
+      && attempt->state == TT_ATTEMPT_OPEN)
+    claim->unsent_failures++;
+  if (event->type != TT_EVENT_ATTEMPT_DONE)
+    return;
+  claim->status = (uint16_t) event->attempt.status;
+  claim->outcome_cut = size > TT_CLAIM_OUTCOME_MAX || event->attempt.body == NULL;
+  size = size > TT_CLAIM_OUTCOME_MAX ? TT_CLAIM_OUTCOME_MAX : size;
+  claim->outcome = event->attempt.body != NULL && size > 0 ? malloc (size) : NULL;
+  claim->outcome_size = claim->outcome != NULL ? size : 0;
+  if (claim->outcome != NULL)
+    memcpy (claim->outcome, event->attempt.body, size);
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  (void) context;
+  if (event->type == TT_EVENT_PLATFORM)
+    on_platform (board, &event->platform, now_us);
+  else if (event->type == TT_EVENT_ATTEMPT_DONE || event->type == TT_EVENT_ATTEMPT_FAILED)
+    on_attempt (board, event);
+  else if (event->type == TT_EVENT_OUTCOME_QUERY)
+    tt_claim_query_enter (board, &event->outcome_query, now_us);
+}
+
+static void
+on_finished (void *context, TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  (void) context;
+  if (request->claim.step == TT_CLAIM_STEP_OWNED)
+    settle_owned (board, request, now_us);
+}
 
 TtController
 tt_claim_controller (void)
 {
-  return (TtController){ .name = "claim" };
+  return (TtController){ .name = "claim",
+                         .open = open_claims,
+                         .close = close_claims,
+                         .on_event = on_event,
+                         .run = run,
+                         .on_finished = on_finished };
 }
--- /dev/null
+++ b/src/tarragontrack/control/claim_shard.c
@@ -0,0 +1,183 @@
+#include "tarragontrack/control/claim_shard.h"
+#include "tarragontrack/board/hash.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define OUTCOME_KEEP_S (24 * 3600)  ///< a recorded answer is repeated for a day
+#define KEY_KEEP_S (30 * 24 * 3600) ///< a key cannot run again for 30 days
+#define NOT_RUN_KEEP_S 3600         ///< "not run" allows the same as no entry
+#define INITIAL_CAPACITY 16U
+
+TtClaimShard *
+tt_claim_shard_activate (TtBoard *board, TtId128 key, int64_t now_us)
+{
+  TtClaimShard *shard = &board->claim.shards[key.low % TT_CLAIM_SHARDS];
+
+  if (!tt_link_is_linked (&shard->link))
+    tt_list_append (&board->claim.active, &shard->link);
+  shard->used_us = now_us;
+  return shard;
+}
+
+TtClaimEntry *
+tt_claim_shard_find (TtClaimShard *shard, TtId128 key)
+{
+  for (uint32_t i = 0; i < shard->count; i++)
+    if (tt_id128_equal (shard->entries[i].key, key))
+      return &shard->entries[i];
+  return NULL;
+}
+
+void
+tt_claim_shard_drop (TtClaimShard *shard)
+{
+  for (uint32_t i = 0; i < shard->count; i++)
+    free (shard->entries[i].outcome);
+  free (shard->entries);
+  shard->entries = NULL;
+  shard->count = 0;
+  shard->capacity = 0;
+  shard->known = false;
+}
+
+/// Copies an outcome's bytes; leaves it empty if memory is exhausted.
+static void
+copy_outcome (TtClaimEntry *entry, const char *bytes, uint32_t size)
+{
+  entry->outcome = size > 0 ? malloc (size) : NULL;
+  entry->outcome_size = entry->outcome != NULL ? size : 0;
+  if (entry->outcome != NULL)
+    memcpy (entry->outcome, bytes, size);
+  else if (size > 0)
+    entry->outcome_cut = true;
+}
+
+int
+tt_claim_shard_load (TtClaimShard *shard, const TtClaimsObject *object, uint64_t version,
+                     int64_t now_us)
+{
+  uint32_t count = object != NULL ? object->count : 0;
+
+  tt_claim_shard_drop (shard);
+  if (count > 0)
+    {
+      shard->entries = calloc (count, sizeof *shard->entries);
+      if (shard->entries == NULL)
+        return TT_E_NO_MEMORY;
+      shard->capacity = count;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    {
+      shard->entries[i] = object->entries[i];
+      copy_outcome (&shard->entries[i], object->entries[i].outcome,
+                    object->entries[i].outcome_size);
+    }
+  shard->count = count;
+  shard->version = version;
+  shard->known = true;
+  shard->read_us = now_us;
+  return TT_OK;
+}
+
+/// A new zeroed entry for a key; NULL with @code set if there is no room.
+static TtClaimEntry *
+add_entry (TtClaimShard *shard, TtId128 key, int *code)
+{
+  TtClaimEntry *entry;
+
+  if (shard->count == shard->capacity)
+    {
+      uint32_t capacity = shard->capacity > 0 ? 2 * shard->capacity : INITIAL_CAPACITY;
+      TtClaimEntry *entries;
+
+      *code = TT_E_LIMIT;
+      if (shard->count >= TT_CLAIM_SHARD_ENTRIES)
+        return NULL;
+      *code = TT_E_NO_MEMORY;
+      entries = realloc (shard->entries, capacity * sizeof *entries);
+      if (entries == NULL)
+        return NULL;
+      shard->entries = entries;
+      shard->capacity = capacity;
+    }
+  *code = TT_OK;
+  entry = &shard->entries[shard->count++];
+  memset (entry, 0, sizeof *entry);
+  entry->key = key;
+  return entry;
+}
+
+int
+tt_claim_shard_claim (TtClaimShard *shard, const TtRequest *request, int64_t wall_s)
+{
+  TtId128 key = request->spec.idempotency_key;
+  TtClaimEntry *entry = tt_claim_shard_find (shard, key);
+  int code = TT_OK;
+
+  if (entry == NULL)
+    entry = add_entry (shard, key, &code);
+  if (entry == NULL)
+    return code;
+  entry->attempt = request->claim.attempt;
+  entry->body_hash = request->spec.body_hash;
+  entry->state = TT_CLAIM_CLAIMED;
+  entry->written_s = wall_s;
+  return TT_OK;
+}
+
+int
+tt_claim_shard_settle (TtClaimShard *shard, TtRequest *request, int64_t wall_s)
+{
+  TtClaimRequest *claim = &request->claim;
+  TtClaimEntry *entry = tt_claim_shard_find (shard, request->spec.idempotency_key);
+  int code = TT_OK;
+
+  if (entry == NULL)
+    entry = add_entry (shard, request->spec.idempotency_key, &code);
+  else if (!tt_id128_equal (entry->attempt, claim->attempt))
+    return TT_OK;
+  if (entry == NULL)
+    return code;
+  entry->attempt = claim->attempt;
+  entry->body_hash = request->spec.body_hash;
+  entry->state = claim->final_state;
+  entry->written_s = wall_s;
+  entry->status = claim->status;
+  entry->outcome_cut = claim->outcome_cut;
+  free (entry->outcome);
+  entry->outcome = NULL;
+  copy_outcome (entry, claim->outcome, claim->outcome_size);
+  return TT_OK;
+}
+
+/// How long an entry is kept, in seconds.
+static int64_t
+retention_s (const TtClaimEntry *entry)
+{
+  return entry->state == TT_CLAIM_NOT_RUN ? NOT_RUN_KEEP_S : KEY_KEEP_S;
+}
+
+void
+tt_claim_shard_prune (TtClaimShard *shard, int64_t wall_s)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < shard->count; i++)
+    {
+      TtClaimEntry *entry = &shard->entries[i];
+      int64_t age_s = wall_s - entry->written_s;
+
+      if (age_s > OUTCOME_KEEP_S && entry->outcome != NULL)
+        {
+          free (entry->outcome);
+          entry->outcome = NULL;
+          entry->outcome_size = 0;
+          entry->outcome_cut = true;
+        }
+      if (age_s > retention_s (entry))
+        free (entry->outcome);
+      else
+        shard->entries[kept++] = *entry;
+    }
+  shard->count = kept;
+}
--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -46,7 +46,7 @@
 
           (void) tt_error_set (&error, TT_E_LIMIT, TT_STEP_PLACE, request->spec.service,
                                "no backend server had room before the deadline");
-          tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, 503, 1000, &error);
+          (void) tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, 503, 1000, &error);
         }
     }
 }
--- a/src/tarragontrack/control/retry.c
+++ b/src/tarragontrack/control/retry.c
@@ -55,7 +55,7 @@
     outcome = TT_OUTCOME_UNKNOWN;
   tt_attempt_close (board, attempt);
   if (request->attempts.count == 0)
-    tt_request_finish (board, request, outcome, 502, 0, &event->error);
+    (void) tt_request_finish (board, request, outcome, 502, 0, &event->error);
 }
 
 static void
@@ -69,7 +69,7 @@
     {
       request = tt_request_find (board, event->request_id);
       if (request != NULL && request->idempotent)
-        tt_request_finish (board, request, TT_OUTCOME_CUT, 499, 0, NULL);
+        (void) tt_request_finish (board, request, TT_OUTCOME_CUT, 499, 0, NULL);
       return;
     }
   if (event->type < TT_EVENT_ATTEMPT_SENT || event->type > TT_EVENT_ATTEMPT_FAILED)
@@ -91,7 +91,8 @@
       request = attempt->request;
       choose_winner (board, attempt);
       tt_attempt_close (board, attempt);
-      tt_request_finish (board, request, TT_OUTCOME_COMPLETE, event->attempt.status, 0, NULL);
+      (void) tt_request_finish (board, request, TT_OUTCOME_COMPLETE, event->attempt.status, 0,
+                                NULL);
     }
 }
 
--- /dev/null
+++ b/test/support/store.c
@@ -0,0 +1,227 @@
+#include "support/store.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Copies @size bytes; NULL for an empty block.
+static void *
+copy_block (const void *block, size_t size)
+{
+  void *copy;
+
+  if (block == NULL || size == 0)
+    return NULL;
+  copy = malloc (size);
+  if (copy == NULL)
+    abort ();
+  memcpy (copy, block, size);
+  return copy;
+}
+
+/// Copies an object with all that it points to.
+static TtObject
+copy_object (const TtObject *object)
+{
+  TtObject copy = *object;
+
+  if (copy.type == TT_OBJECT_DOCUMENT)
+    {
+      copy.document.text = copy_block (object->document.text, object->document.text_size);
+      copy.document.document = copy_block (object->document.document, sizeof (TtDocument));
+    }
+  else if (copy.type == TT_OBJECT_CLAIMS)
+    {
+      copy.claims.entries
+          = copy_block (object->claims.entries, object->claims.count * sizeof (TtClaimEntry));
+      for (uint32_t i = 0; i < copy.claims.count; i++)
+        copy.claims.entries[i].outcome
+            = copy_block (copy.claims.entries[i].outcome, copy.claims.entries[i].outcome_size);
+    }
+  else if (copy.type == TT_OBJECT_ORDERS)
+    copy.orders.wanted
+        = copy_block (object->orders.wanted, object->orders.count * sizeof (TtWantedRole));
+  return copy;
+}
+
+static void
+free_object (TtObject *object)
+{
+  if (object->type == TT_OBJECT_DOCUMENT)
+    {
+      free ((void *) object->document.text);
+      free ((void *) object->document.document);
+    }
+  else if (object->type == TT_OBJECT_CLAIMS)
+    {
+      for (uint32_t i = 0; i < object->claims.count; i++)
+        free (object->claims.entries[i].outcome);
+      free (object->claims.entries);
+    }
+  else if (object->type == TT_OBJECT_ORDERS)
+    free (object->orders.wanted);
+  object->type = TT_OBJECT_NONE;
+}
+
+Store *
+store_new (void)
+{
+  Store *store = calloc (1, sizeof *store);
+
+  if (store == NULL)
+    abort ();
+  return store;
+}
+
+void
+store_free (Store *store)
+{
+  for (uint32_t i = 0; i < store->count; i++)
+    {
+      free_object (&store->items[i].object);
+      free_object (&store->items[i].previous);
+    }
+  free (store);
+}
+
+StoreItem *
+store_find (Store *store, const char *key)
+{
+  for (uint32_t i = 0; i < store->count; i++)
+    if (strcmp (store->items[i].key, key) == 0)
+      return &store->items[i];
+  return NULL;
+}
+
+/// Item of a key, added with version 0 if absent.
+static StoreItem *
+find_or_add (Store *store, const char *key)
+{
+  StoreItem *item = store_find (store, key);
+
+  if (item != NULL)
+    return item;
+  if (store->count == STORE_KEYS)
+    abort ();
+  item = &store->items[store->count++];
+  (void) snprintf (item->key, sizeof item->key, "%s", key);
+  return item;
+}
+
+static TtPlatformEvent
+put_object (Store *store, const TtPlatformAction *call)
+{
+  StoreItem *item = find_or_add (store, call->key);
+  TtPlatformEvent event = { .call_id = call->call_id, .op = call->op };
+
+  store->writes++;
+  if (item->version != call->version)
+    {
+      event.code = TT_E_CONFLICT;
+      event.version = item->version;
+      return event;
+    }
+  free_object (&item->previous);
+  item->previous = item->object;
+  item->previous_version = item->version;
+  item->object = copy_object (call->object);
+  event.version = ++item->version;
+  return event;
+}
+
+static TtPlatformEvent
+get_object (Store *store, const TtPlatformAction *call, bool stale)
+{
+  StoreItem *item = store_find (store, call->key);
+  TtPlatformEvent event = { .call_id = call->call_id, .op = call->op };
+
+  store->reads++;
+  if (item == NULL || item->version == 0)
+    {
+      event.code = TT_E_NOT_FOUND;
+      return event;
+    }
+  stale = stale && item->previous_version > 0;
+  event.version = stale ? item->previous_version : item->version;
+  event.object = stale ? &item->previous : &item->object;
+  if (call->op == TT_PLATFORM_WATCH && event.version == call->version)
+    {
+      event.unchanged = true;
+      event.object = NULL;
+    }
+  return event;
+}
+
+/// Hosts of one failure domain, or of all when @domain is empty.
+static TtPlatformEvent
+list_hosts (Store *store, const TtPlatformAction *call)
+{
+  static TtHostEntry hosts[STORE_HOSTS];
+  static TtObject object;
+  TtPlatformEvent event = { .call_id = call->call_id, .op = call->op };
+
+  store->reads++;
+  event.version = store->hosts_version;
+  if (call->version == store->hosts_version)
+    {
+      event.unchanged = true;
+      return event;
+    }
+  object = (TtObject){ .type = TT_OBJECT_HOSTS, .hosts = { .hosts = hosts } };
+  for (uint32_t i = 0; i < store->host_count; i++)
+    if (call->key[0] == '\0' || strcmp (store->hosts[i].domain, call->key) == 0)
+      hosts[object.hosts.count++] = store->hosts[i];
+  event.object = &object;
+  return event;
+}
+
+TtPlatformEvent
+store_call (Store *store, const TtPlatformAction *call, const char *domain, bool stale)
+{
+  (void) domain;
+  if (call->op == TT_PLATFORM_PUT)
+    return put_object (store, call);
+  if (call->op == TT_PLATFORM_HOSTS)
+    return list_hosts (store, call);
+  return get_object (store, call, stale);
+}
+
+bool
+store_watch_is_due (const Store *store, const TtPlatformAction *call)
+{
+  for (uint32_t i = 0; i < store->count; i++)
+    if (strcmp (store->items[i].key, call->key) == 0)
+      return store->items[i].version != call->version;
+  return call->version != 0;
+}
+
+Store *
+store_snapshot (const Store *store)
+{
+  Store *snapshot = store_new ();
+
+  snapshot->count = store->count;
+  for (uint32_t i = 0; i < store->count; i++)
+    {
+      snapshot->items[i] = store->items[i];
+      snapshot->items[i].object = copy_object (&store->items[i].object);
+      snapshot->items[i].previous = copy_object (&store->items[i].previous);
+    }
+  return snapshot;
+}
+
+void
+store_restore (Store *store, const Store *snapshot)
+{
+  for (uint32_t i = 0; i < store->count; i++)
+    {
+      const StoreItem *old = i < snapshot->count ? &snapshot->items[i] : NULL;
+      StoreItem *item = &store->items[i];
+
+      free_object (&item->object);
+      free_object (&item->previous);
+      item->previous_version = 0;
+      if (old != NULL)
+        item->object = copy_object (&old->object);
+      item->version = old != NULL ? old->version : 0;
+    }
+}
