--- /dev/null
+++ b/examples/embed_claim.c
@@ -0,0 +1,166 @@
+/// Embeds the at-most-once claim alone: a controller of our own submits jobs and runs those whose
+/// claim it owns. Two boards share a store in memory; each job is submitted at both and runs once.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <tarragontrack/board/board.h>
+#include <tarragontrack/board/hash.h>
+#include <tarragontrack/board/request.h>
+#include <tarragontrack/control/controllers.h>
+
+enum
+{
+  JOBS = 10,
+  STORE_ENTRIES = 64
+};
+
+/// One object claims/SHARD of our store.
+typedef struct
+{
+  char key[TT_KEY_MAX];
+  uint64_t version;
+  TtClaimEntry entries[STORE_ENTRIES];
+  uint32_t count;
+} Object;
+
+/// Context of the runner: how often each job ran.
+typedef struct
+{
+  unsigned runs[JOBS];
+  unsigned recorded;
+} Runner;
+
+static Object store[JOBS];
+
+/// Callback of a controller of our own: runs the jobs whose claim is owned.
+static void
+run_jobs (void *context, TtBoard *board, int64_t now_us)
+{
+  Runner *runner = context;
+
+  (void) now_us;
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_READY], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      runner->runs[request->spec.chat_key]++;
+      request->claim.status = 200;
+      (void) tt_request_finish (board, request, TT_OUTCOME_COMPLETE, 200, 0, NULL);
+    }
+}
+
+/// Object of a key; an unused one becomes it.
+static Object *
+object_of (const char *key)
+{
+  for (int i = 0; i < JOBS; i++)
+    if (store[i].version == 0 || strcmp (store[i].key, key) == 0)
+      {
+        (void) snprintf (store[i].key, sizeof store[i].key, "%s", key);
+        return &store[i];
+      }
+  return NULL;
+}
+
+/// A versioned store with conditional updates, which is all that the claim needs.
+static void
+answer_platform (TtBoard *board, const TtPlatformAction *call, int64_t now_us)
+{
+  Object *object = object_of (call->key);
+  TtObject answer = { .type = TT_OBJECT_CLAIMS };
+  TtEvent event = { .type = TT_EVENT_PLATFORM };
+
+  if (object == NULL)
+    abort ();
+  event.platform.call_id = call->call_id;
+  event.platform.op = call->op;
+  if (call->op == TT_PLATFORM_PUT && call->version != object->version)
+    event.platform.code = TT_E_CONFLICT;
+  else if (call->op == TT_PLATFORM_PUT)
+    {
+      object->version++;
+      object->count = call->object->claims.count;
+      memcpy (object->entries, call->object->claims.entries,
+              object->count * sizeof object->entries[0]);
+    }
+  else if (object->version == 0)
+    event.platform.code = TT_E_NOT_FOUND;
+  else
+    {
+      answer.claims = (TtClaimsObject){ .entries = object->entries, .count = object->count };
+      event.platform.object = &answer;
+    }
+  event.platform.version = object->version;
+  tt_board_step (board, &event, now_us);
+}
+
+/// Carries out the board's actions.
+static void
+carry_out (TtBoard *board, Runner *runner, int64_t now_us)
+{
+  TtAction *action;
+
+  while ((action = tt_board_take (board)) != NULL)
+    {
+      if (action->type == TT_ACTION_PLATFORM)
+        answer_platform (board, &action->platform, now_us);
+      else if (action->type == TT_ACTION_REPLY && action->reply.outcome == TT_OUTCOME_RECORDED)
+        runner->recorded++;
+      tt_board_release (board, action);
+    }
+}
+
+/// Submits a job under its key; the claim controller decides whether it may run here.
+static void
+submit (TtBoard *board, Runner *runner, uint64_t job, int64_t now_us)
+{
+  TtRequestSpec spec
+      = { .request_id = tt_board_next_id (board), .chat_key = job, .body_hash = job };
+  TtEvent tick = { .type = TT_EVENT_TICK };
+  TtRequest *request;
+
+  spec.idempotency_key = tt_hash_id128 (0, &job, sizeof job);
+  request = tt_request_new (board, &spec, now_us);
+  if (request == NULL)
+    abort ();
+  request->deadline_us = now_us + TT_SECOND_US;
+  tt_request_set_stage (board, request, TT_STAGE_CLAIMING);
+  tt_board_step (board, &tick, now_us);
+  carry_out (board, runner, now_us);
+}
+
+/// A board with the claim controller and our own one.
+static TtBoard *
+make_board (const char *name, uint64_t seed, Runner *runner)
+{
+  TtBoardConfig config = { .seed = { seed, 7 }, .max_requests = 16, .max_attempts = 16 };
+  TtController claim = tt_claim_controller ();
+  TtController own = { .name = "jobs", .context = runner, .run = run_jobs };
+  TtBoard *board;
+
+  (void) snprintf (config.name, sizeof config.name, "%s", name);
+  board = tt_board_new (&config);
+  if (board == NULL || tt_board_add_controller (board, &claim) < 0
+      || tt_board_add_controller (board, &own) < 0)
+    abort ();
+  return board;
+}
+
+int
+main (void)
+{
+  Runner runner = { .recorded = 0 };
+  TtBoard *boards[2] = { make_board ("first", 1, &runner), make_board ("second", 2, &runner) };
+  unsigned runs = 0;
+
+  for (uint64_t job = 0; job < JOBS; job++)
+    for (int i = 0; i < 2; i++)
+      submit (boards[i], &runner, job, (int64_t) (10 * job + 1) * TT_SECOND_US + i);
+  for (int job = 0; job < JOBS; job++)
+    runs += runner.runs[job];
+  (void) printf ("%d jobs submitted twice, %u runs, %u recorded outcomes given again\n", JOBS, runs,
+                 runner.recorded);
+  tt_board_free (boards[0]);
+  tt_board_free (boards[1]);
+  return runs == JOBS && runner.recorded == JOBS ? 0 : 1;
+}
