feat(io): HTTP client on libcurl's multi interface

Cause: backend servers and the platform are called over HTTP with deadlines, streamed answers, backpressure and cancel; the client in h2o has none of these in the form needed.

Change: http_client.c drives libcurl on the libuv loop, http_call.c holds one call. An answer without a stated length counts as cut. New field fresh_connection for calls that must not be repeated.

--- /dev/null
+++ b/src/tarragontrack/io/http_call.c
@@ -0,0 +1,298 @@
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/io/http_client_defs.h"
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+tt_http_call_move (TtHttpCall *call, TtList *list)
+{
+  if (call->list != NULL)
+    tt_list_remove (call->list, &call->link);
+  call->list = list;
+  if (list != NULL)
+    tt_list_append (list, &call->link);
+}
+
+void
+tt_http_call_move_sent (TtHttpCall *call, TtList *list)
+{
+  if (call->sent_list != NULL)
+    tt_list_remove (call->sent_list, &call->sent_link);
+  call->sent_list = list;
+  if (list != NULL)
+    tt_list_append (list, &call->sent_link);
+}
+
+void
+tt_http_call_free (TtHttpCall *call)
+{
+  tt_http_call_move (call, NULL);
+  tt_http_call_move_sent (call, NULL);
+  if (tt_link_is_linked (&call->resume_link))
+    tt_list_remove (&call->client->resumed, &call->resume_link);
+  if (call->easy != NULL)
+    curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  free (call);
+}
+
+bool
+tt_http_call_was_sent (const TtHttpCall *call)
+{
+  long size = 0;
+
+  (void) curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &size);
+  return size > 0;
+}
+
+void
+tt_http_call_tell_sent (TtHttpCall *call)
+{
+  if (call->sent_list == NULL || call->cancelled)
+    return;
+  tt_http_call_move_sent (call, NULL);
+  if (call->request.on_sent != NULL)
+    call->request.on_sent (call->request.context);
+}
+
+/// Forbids libcurl's own second sending of a request on a new connection, which would run a
+/// request twice when the server took it and closed a reused connection without an answer.
+static int
+check_first_sending (void *context, char *remote, char *local, int remote_port, int local_port)
+{
+  TtHttpCall *call = context;
+
+  (void) remote, (void) local, (void) remote_port, (void) local_port;
+  return tt_http_call_was_sent (call) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static size_t
+read_header (char *data, size_t size, size_t count, void *context)
+{
+  TtHttpCall *call = context;
+  long status = 0;
+  bool last = size * count <= 2 && (data[0] == '\r' || data[0] == '\n');
+
+  if (call->cancelled)
+    return 0;
+  if (!last || call->headers_done)
+    return size * count;
+  (void) curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status < 200)
+    return size * count;
+  call->headers_done = true;
+  tt_http_call_tell_sent (call);
+  if (!call->cancelled && call->request.on_headers != NULL)
+    call->request.on_headers (call->request.context, call, (unsigned) status);
+  return call->cancelled ? 0 : size * count;
+}
+
+static size_t
+read_data (char *data, size_t size, size_t count, void *context)
+{
+  TtHttpCall *call = context;
+
+  if (call->cancelled)
+    return 0;
+  if (call->pause_wanted)
+    {
+      call->paused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+  if (call->request.on_data != NULL)
+    call->request.on_data (call->request.context, data, size * count);
+  return call->cancelled ? 0 : size * count;
+}
+
+/// Without a length or chunks the end of the connection is the end of the answer, so that a
+/// truncated answer cannot be told from a complete one.
+static bool
+has_stated_length (TtHttpCall *call)
+{
+  long status = 0;
+
+  (void) curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  return strcmp (call->request.method, "HEAD") == 0 || status == 204 || status == 304
+         || tt_http_call_header (call, "Content-Length") != NULL
+         || tt_http_call_header (call, "Transfer-Encoding") != NULL;
+}
+
+static int
+map_result (TtHttpCall *call, CURLcode result, TtError *error)
+{
+  TtStep step = tt_http_call_was_sent (call) ? TT_STEP_RECEIVE : TT_STEP_CONNECT;
+  const char *detail = curl_easy_strerror (result);
+  int code = TT_E_TIMEOUT;
+
+  if (result == CURLE_OK)
+    {
+      code = has_stated_length (call) ? TT_OK : TT_E_CRASHED;
+      detail = code == TT_OK ? "" : "the answer has no length, so its end cannot be verified";
+    }
+  else if (step == TT_STEP_CONNECT)
+    code = TT_E_UNAVAILABLE;
+  else if (result == CURLE_GOT_NOTHING || result == CURLE_RECV_ERROR || result == CURLE_SEND_ERROR
+           || result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK)
+    code = TT_E_CRASHED;
+  return tt_error_set (error, code, step, call->request.peer, "%s", detail);
+}
+
+void
+tt_http_call_end (TtHttpCall *call, CURLcode result)
+{
+  TtError error;
+
+  (void) map_result (call, result, &error);
+  (void) curl_multi_remove_handle (call->client->multi, call->easy);
+  call->ending = true;
+  if (error.code != TT_E_UNAVAILABLE)
+    tt_http_call_tell_sent (call);
+  if (!call->cancelled)
+    call->request.on_end (call->request.context, &error);
+  tt_http_call_free (call);
+}
+
+static bool
+add_header (TtHttpCall *call, const char *line)
+{
+  struct curl_slist *headers = curl_slist_append (call->headers, line);
+
+  if (headers == NULL)
+    return false;
+  call->headers = headers;
+  return true;
+}
+
+/// Copies the headers, and removes those that libcurl adds by itself.
+static bool
+set_headers (TtHttpCall *call)
+{
+  bool typed = false;
+
+  for (const char *const *line = call->request.headers; line != NULL && *line != NULL; line++)
+    {
+      typed = typed || strncasecmp (*line, "Content-Type:", 13) == 0;
+      if (!add_header (call, *line))
+        return false;
+    }
+  if (!add_header (call, "Expect:") || (!typed && !add_header (call, "Content-Type:")))
+    return false;
+  return curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers) == CURLE_OK;
+}
+
+static bool
+set_method (TtHttpCall *call)
+{
+  const TtHttpRequest *request = &call->request;
+
+  if (strcmp (request->method, "GET") == 0)
+    return true;
+  if (strcmp (request->method, "HEAD") == 0)
+    return curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L) == CURLE_OK;
+  if ((request->body_size > 0 || strcmp (request->method, "DELETE") != 0)
+      && (curl_easy_setopt (call->easy, CURLOPT_POST, 1L) != CURLE_OK
+          || curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                               (curl_off_t) request->body_size)
+                 != CURLE_OK
+          || curl_easy_setopt (call->easy, CURLOPT_COPYPOSTFIELDS,
+                               request->body_size > 0 ? request->body : "")
+                 != CURLE_OK))
+    return false;
+  return curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, request->method) == CURLE_OK;
+}
+
+static bool
+set_options (TtHttpCall *call)
+{
+  const TtHttpRequest *request = &call->request;
+  CURL *easy = call->easy;
+
+  (void) curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  (void) curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  (void) curl_easy_setopt (easy, CURLOPT_PROXY, ""); // ignores the environment's proxy
+  (void) curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  (void) curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) TT_HTTP_IDLE_LIMIT_S);
+  (void) curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+  (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) request->connect_timeout_ms);
+  (void) curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) request->total_timeout_ms);
+  (void) curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, check_first_sending);
+  (void) curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  (void) curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_header);
+  (void) curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  (void) curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, read_data);
+  (void) curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  return curl_easy_setopt (easy, CURLOPT_URL, request->url) == CURLE_OK && set_method (call)
+         && set_headers (call);
+}
+
+TtHttpCall *
+tt_http_client_start (TtHttpClient *client, const TtHttpRequest *request)
+{
+  TtHttpCall *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    return NULL;
+  call->client = client;
+  call->request = *request;
+  tt_link_init (&call->link);
+  tt_link_init (&call->sent_link);
+  tt_link_init (&call->resume_link);
+  call->easy = curl_easy_init ();
+  if (call->easy == NULL || !set_options (call))
+    {
+      tt_http_call_free (call);
+      return NULL;
+    }
+  if (client->depth == 0 && curl_multi_add_handle (client->multi, call->easy) != CURLM_OK)
+    {
+      tt_http_call_free (call);
+      return NULL;
+    }
+  tt_http_call_move (call, client->depth > 0 ? &client->waiting : &client->active);
+  tt_http_call_move_sent (call, &client->unsent);
+  return call;
+}
+
+const char *
+tt_http_call_header (const TtHttpCall *call, const char *name)
+{
+  struct curl_header *header;
+
+  return curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK
+             ? header->value
+             : NULL;
+}
+
+void
+tt_http_call_pause (TtHttpCall *call, bool paused)
+{
+  TtHttpClient *client = call->client;
+
+  call->pause_wanted = paused;
+  if (paused || !call->paused || call->ending || tt_link_is_linked (&call->resume_link))
+    return;
+  tt_list_append (&client->resumed, &call->resume_link);
+  (void) uv_timer_start (&client->work, tt_http_client_resume, 0, 0);
+}
+
+void
+tt_http_call_cancel (TtHttpCall *call)
+{
+  TtHttpClient *client = call->client;
+  bool known = call->list == &client->active;
+
+  if (call->ending || call->cancelled)
+    return;
+  call->cancelled = true;
+  if (known && client->depth > 0)
+    {
+      tt_http_call_move_sent (call, NULL);
+      tt_http_call_move (call, &client->cancelled);
+      return;
+    }
+  if (known)
+    (void) curl_multi_remove_handle (client->multi, call->easy);
+  tt_http_call_free (call);
+}
--- /dev/null
+++ b/src/tarragontrack/io/http_client.c
@@ -0,0 +1,236 @@
+#include "tarragontrack/io/http_client_defs.h"
+#include <stdlib.h>
+
+typedef struct
+{
+  uv_poll_t poll;
+  TtHttpClient *client;
+  curl_socket_t fd;
+} Socket;
+
+/// Does what libcurl did not allow while it ran, then reports sent and ended calls.
+static void
+settle_calls (TtHttpClient *client)
+{
+  TtLink *link;
+  CURLMsg *message;
+  int left;
+
+  if (client->depth > 0)
+    return;
+  while ((link = tt_list_first (&client->cancelled)) != NULL)
+    {
+      TtHttpCall *call = TT_CONTAINER_OF (link, TtHttpCall, link);
+
+      (void) curl_multi_remove_handle (client->multi, call->easy);
+      tt_http_call_free (call);
+    }
+  TT_LIST_FOREACH (&client->unsent, it)
+    {
+      TtHttpCall *call = TT_CONTAINER_OF (it, TtHttpCall, sent_link);
+
+      if (tt_http_call_was_sent (call))
+        tt_http_call_move_sent (call, &client->sent);
+    }
+  while ((link = tt_list_first (&client->sent)) != NULL)
+    tt_http_call_tell_sent (TT_CONTAINER_OF (link, TtHttpCall, sent_link));
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      TtHttpCall *call = NULL;
+      CURLcode result = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      (void) curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **) &call);
+      tt_http_call_end (call, result);
+    }
+  while ((link = tt_list_first (&client->waiting)) != NULL)
+    {
+      TtHttpCall *call = TT_CONTAINER_OF (link, TtHttpCall, link);
+
+      tt_http_call_move (call, &client->active);
+      if (curl_multi_add_handle (client->multi, call->easy) != CURLM_OK)
+        tt_http_call_end (call, CURLE_FAILED_INIT);
+    }
+}
+
+static void
+drive (TtHttpClient *client, curl_socket_t fd, int events)
+{
+  int running;
+
+  client->depth++;
+  (void) curl_multi_socket_action (client->multi, fd, events, &running);
+  client->depth--;
+  settle_calls (client);
+}
+
+static void
+on_poll (uv_poll_t *poll, int status, int events)
+{
+  Socket *sock = poll->data;
+  int flags = status < 0 ? CURL_CSELECT_ERR : 0;
+
+  flags |= (events & UV_READABLE) != 0 ? CURL_CSELECT_IN : 0;
+  flags |= (events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0;
+  drive (sock->client, sock->fd, flags);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  drive (timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *context)
+{
+  TtHttpClient *client = context;
+
+  (void) multi;
+  if (client->stopping || timeout_ms < 0)
+    (void) uv_timer_stop (&client->timer);
+  else
+    (void) uv_timer_start (&client->timer, on_timer, (uint64_t) timeout_ms, 0);
+  return 0;
+}
+
+/// Frees the client once its last handle is closed.
+static void
+drop_handle (TtHttpClient *client)
+{
+  if (--client->handles > 0)
+    return;
+  free (client);
+  curl_global_cleanup ();
+}
+
+static void
+on_socket_closed (uv_handle_t *handle)
+{
+  Socket *sock = handle->data;
+  TtHttpClient *client = sock->client;
+
+  free (sock);
+  drop_handle (client);
+}
+
+static void
+on_handle_closed (uv_handle_t *handle)
+{
+  drop_handle (handle->data);
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *context, void *socket_context)
+{
+  TtHttpClient *client = context;
+  Socket *sock = socket_context;
+  int events = 0;
+
+  (void) easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (sock == NULL)
+        return 0;
+      (void) uv_poll_stop (&sock->poll);
+      uv_close ((uv_handle_t *) &sock->poll, on_socket_closed);
+      (void) curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (sock == NULL)
+    {
+      sock = calloc (1, sizeof *sock);
+      if (sock == NULL)
+        return -1;
+      sock->client = client;
+      sock->fd = fd;
+      sock->poll.data = sock;
+      if (uv_poll_init_socket (client->loop, &sock->poll, fd) != 0)
+        {
+          free (sock);
+          return -1;
+        }
+      client->handles++;
+      (void) curl_multi_assign (client->multi, fd, sock);
+    }
+  events |= what != CURL_POLL_OUT ? UV_READABLE : 0;
+  events |= what != CURL_POLL_IN ? UV_WRITABLE : 0;
+  return uv_poll_start (&sock->poll, events, on_poll) == 0 ? 0 : -1;
+}
+
+void
+tt_http_client_resume (uv_timer_t *timer)
+{
+  TtHttpClient *client = timer->data;
+  TtLink *link;
+
+  while ((link = tt_list_pop (&client->resumed)) != NULL)
+    {
+      TtHttpCall *call = TT_CONTAINER_OF (link, TtHttpCall, resume_link);
+
+      if (call->pause_wanted || !call->paused)
+        continue;
+      call->paused = false;
+      client->depth++;
+      (void) curl_easy_pause (call->easy, CURLPAUSE_CONT);
+      client->depth--;
+      settle_calls (client);
+    }
+}
+
+TtHttpClient *
+tt_http_client_new (uv_loop_t *loop)
+{
+  TtHttpClient *client = calloc (1, sizeof *client);
+
+  if (client == NULL)
+    return NULL;
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
+    {
+      free (client);
+      return NULL;
+    }
+  client->multi = curl_multi_init ();
+  if (client->multi == NULL)
+    {
+      curl_global_cleanup ();
+      free (client);
+      return NULL;
+    }
+  client->loop = loop;
+  tt_list_init (&client->active);
+  tt_list_init (&client->waiting);
+  tt_list_init (&client->cancelled);
+  tt_list_init (&client->unsent);
+  tt_list_init (&client->sent);
+  tt_list_init (&client->resumed);
+  (void) uv_timer_init (loop, &client->timer);
+  (void) uv_timer_init (loop, &client->work);
+  client->timer.data = client;
+  client->work.data = client;
+  client->handles = 2;
+  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long) TT_HTTP_MAX_IDLE);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, (long) CURLPIPE_NOTHING);
+  return client;
+}
+
+void
+tt_http_client_free (TtHttpClient *client)
+{
+  TtLink *link;
+
+  if (client == NULL)
+    return;
+  client->stopping = true;
+  while ((link = tt_list_first (&client->active)) != NULL
+         || (link = tt_list_first (&client->waiting)) != NULL)
+    tt_http_call_cancel (TT_CONTAINER_OF (link, TtHttpCall, link));
+  (void) curl_multi_cleanup (client->multi);
+  uv_close ((uv_handle_t *) &client->timer, on_handle_closed);
+  uv_close ((uv_handle_t *) &client->work, on_handle_closed);
+}
--- a/src/tarragontrack/io/http_client.h
+++ b/src/tarragontrack/io/http_client.h
@@ -21,6 +21,9 @@
   size_t body_size;
   uint32_t connect_timeout_ms;
   uint32_t total_timeout_ms; ///< 0 = none; the owner of the call cancels it
+  /// Opens a new connection. For calls that must not be repeated: a server that closes an idle
+  /// connection while the request arrives leaves the effect unknown.
+  bool fresh_connection;
   void *context;
   void (*on_sent) (void *context); ///< first byte was sent; may be NULL
   void (*on_headers) (void *context, TtHttpCall *call, unsigned status); ///< may be NULL
--- /dev/null
+++ b/test/support/uv_peer.c
@@ -0,0 +1,205 @@
+#include "support/uv_peer.h"
+#include "tarragontrack/board/list.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  REQUEST_MAX = 65536
+};
+
+struct UvPeer
+{
+  uv_tcp_t listener;
+  uv_loop_t *loop;
+  UvPeerHandler handler;
+  void *context;
+  TtList connections;
+  unsigned accepted;
+};
+
+struct UvPeerConnection
+{
+  TtLink link;
+  uv_tcp_t tcp;
+  UvPeer *peer;
+  unsigned requests;
+  size_t size;
+  char data[REQUEST_MAX + 1];
+};
+
+typedef struct
+{
+  uv_write_t write;
+  char text[];
+} Write;
+
+static void
+free_connection (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static void
+free_peer (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+void
+uv_peer_close (UvPeerConnection *connection)
+{
+  if (!tt_link_is_linked (&connection->link))
+    return;
+  tt_list_remove (&connection->peer->connections, &connection->link);
+  uv_close ((uv_handle_t *) &connection->tcp, free_connection);
+}
+
+static void
+give_buffer (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
+{
+  UvPeerConnection *connection = handle->data;
+
+  (void) size;
+  *buffer = uv_buf_init (connection->data + connection->size,
+                         (unsigned) (REQUEST_MAX - connection->size));
+}
+
+/// Size of the first whole request in the buffer, or 0.
+static size_t
+whole_request (const UvPeerConnection *connection)
+{
+  const char *end = strstr (connection->data, "\r\n\r\n");
+  const char *length = strstr (connection->data, "Content-Length:");
+  size_t size;
+
+  if (end == NULL)
+    return 0;
+  size = (size_t) (end - connection->data) + 4;
+  if (length != NULL && length < end)
+    size += strtoul (length + 15, NULL, 10);
+  return size <= connection->size ? size : 0;
+}
+
+static void
+read_connection (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+  UvPeerConnection *connection = stream->data;
+  UvPeer *peer = connection->peer;
+  size_t whole;
+
+  (void) buffer;
+  if (size < 0)
+    {
+      uv_peer_close (connection);
+      return;
+    }
+  connection->size += (size_t) size;
+  connection->data[connection->size] = '\0';
+  whole = whole_request (connection);
+  if (whole == 0)
+    return;
+  connection->size = 0;
+  connection->requests++;
+  peer->handler (peer->context, connection, connection->requests, connection->data);
+}
+
+static void
+accept_connection (uv_stream_t *listener, int status)
+{
+  UvPeer *peer = listener->data;
+  UvPeerConnection *connection = calloc (1, sizeof *connection);
+
+  if (status < 0 || connection == NULL)
+    {
+      free (connection);
+      return;
+    }
+  peer->accepted++;
+  connection->peer = peer;
+  (void) uv_tcp_init (peer->loop, &connection->tcp);
+  connection->tcp.data = connection;
+  tt_list_append (&peer->connections, &connection->link);
+  if (uv_accept (listener, (uv_stream_t *) &connection->tcp) == 0)
+    (void) uv_read_start ((uv_stream_t *) &connection->tcp, give_buffer, read_connection);
+  else
+    uv_peer_close (connection);
+}
+
+UvPeer *
+uv_peer_new (uv_loop_t *loop, UvPeerHandler handler, void *context)
+{
+  UvPeer *peer = calloc (1, sizeof *peer);
+  struct sockaddr_in address;
+
+  if (peer == NULL)
+    return NULL;
+  peer->loop = loop;
+  peer->handler = handler;
+  peer->context = context;
+  tt_list_init (&peer->connections);
+  (void) uv_ip4_addr ("127.0.0.1", 0, &address);
+  (void) uv_tcp_init (loop, &peer->listener);
+  peer->listener.data = peer;
+  (void) uv_tcp_bind (&peer->listener, (const struct sockaddr *) &address, 0);
+  (void) uv_listen ((uv_stream_t *) &peer->listener, 16, accept_connection);
+  return peer;
+}
+
+unsigned
+uv_peer_port (const UvPeer *peer)
+{
+  struct sockaddr_in address;
+  int size = sizeof address;
+
+  (void) uv_tcp_getsockname (&peer->listener, (struct sockaddr *) &address, &size);
+  return ntohs (address.sin_port);
+}
+
+unsigned
+uv_peer_accepted (const UvPeer *peer)
+{
+  return peer->accepted;
+}
+
+void
+uv_peer_free (UvPeer *peer)
+{
+  TT_LIST_FOREACH (&peer->connections, it)
+    uv_peer_close (TT_CONTAINER_OF (it, UvPeerConnection, link));
+  uv_close ((uv_handle_t *) &peer->listener, free_peer);
+}
+
+static void
+free_write (uv_write_t *write, int status)
+{
+  (void) status;
+  free (write->data);
+}
+
+void
+uv_peer_send (UvPeerConnection *connection, const char *text, size_t size)
+{
+  Write *write = calloc (1, sizeof *write + size + 1);
+  uv_buf_t buffer;
+
+  if (write == NULL)
+    return;
+  memcpy (write->text, text, size);
+  write->write.data = write;
+  buffer = uv_buf_init (write->text, (unsigned) size);
+  if (uv_write (&write->write, (uv_stream_t *) &connection->tcp, &buffer, 1, free_write) != 0)
+    free (write);
+}
+
+void
+uv_peer_answer (UvPeerConnection *connection, unsigned status, const char *headers,
+                const char *body)
+{
+  char text[4096];
+  int size = snprintf (text, sizeof text, "HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n%s",
+                       status, headers, strlen (body), body);
+
+  uv_peer_send (connection, text, (size_t) size);
+}
