feat(codec): peer messages as msgpack

Cause: daemons exchange gossip, shares and documents; what arrives is not trusted.

Change: records are arrays, so that a newer version may append fields. Versions above the known one, other fleets, long messages and malformed ones are refused with an error number. A scan checks all stated lengths before msgpack-c, which allocates arrays of the stated size, sees them. IP numbers are packed as bytes and the sender's failure domain is not repeated.

--- /dev/null
+++ b/src/tarragontrack/codec/peer_write.c
@@ -0,0 +1,218 @@
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/codec/peer.h"
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <string.h>
+
+static void
+pack_string (msgpack_packer *packer, const char *text)
+{
+  (void) msgpack_pack_str_with_body (packer, text, strlen (text));
+}
+
+/// IP numbers are packed as 4 or 16 bytes, which keeps gossip short; other text is packed as it is.
+static void
+pack_address (msgpack_packer *packer, const char *address)
+{
+  unsigned char bytes[16];
+
+  if (inet_pton (AF_INET, address, bytes) == 1)
+    (void) msgpack_pack_bin_with_body (packer, bytes, 4);
+  else if (inet_pton (AF_INET6, address, bytes) == 1)
+    (void) msgpack_pack_bin_with_body (packer, bytes, 16);
+  else
+    pack_string (packer, address);
+}
+
+/// The failure domain is 0 when it is that of the first entry, the sender.
+static void
+pack_members (msgpack_packer *packer, const TtPeerGossip *gossip)
+{
+  (void) msgpack_pack_array (packer, gossip->member_count);
+  for (uint32_t i = 0; i < gossip->member_count; i++)
+    {
+      const TtMemberEntry *entry = &gossip->members[i];
+      bool same = i > 0 && entry->domain_id == gossip->members[0].domain_id;
+
+      (void) msgpack_pack_array (packer, 9);
+      (void) msgpack_pack_uint64 (packer, entry->id);
+      (void) msgpack_pack_uint64 (packer, same ? 0 : entry->domain_id);
+      (void) msgpack_pack_uint64 (packer, entry->incarnation);
+      (void) msgpack_pack_uint32 (packer, entry->heartbeat);
+      (void) msgpack_pack_uint32 (packer, (uint32_t) entry->state);
+      (void) msgpack_pack_uint64 (packer, entry->epoch);
+      (void) msgpack_pack_uint64 (packer, entry->generation);
+      pack_address (packer, entry->address);
+      (void) msgpack_pack_uint16 (packer, entry->port);
+    }
+}
+
+static void
+pack_loads (msgpack_packer *packer, const TtPeerGossip *gossip)
+{
+  (void) msgpack_pack_array (packer, gossip->load_count);
+  for (uint32_t i = 0; i < gossip->load_count; i++)
+    {
+      (void) msgpack_pack_array (packer, 3);
+      (void) msgpack_pack_uint64 (packer, gossip->loads[i].backend_id);
+      (void) msgpack_pack_uint32 (packer, gossip->loads[i].load);
+      (void) msgpack_pack_uint32 (packer, gossip->loads[i].room);
+    }
+}
+
+static void
+pack_accounts (msgpack_packer *packer, const TtPeerGossip *gossip)
+{
+  (void) msgpack_pack_array (packer, gossip->account_count);
+  for (uint32_t i = 0; i < gossip->account_count; i++)
+    {
+      (void) msgpack_pack_array (packer, 3);
+      (void) msgpack_pack_uint64 (packer, gossip->accounts[i].account_id);
+      (void) msgpack_pack_uint64 (packer, gossip->accounts[i].member_id);
+      (void) msgpack_pack_uint32 (packer, gossip->accounts[i].in_flight);
+    }
+}
+
+static void
+pack_suspects (msgpack_packer *packer, const TtPeerGossip *gossip)
+{
+  (void) msgpack_pack_array (packer, gossip->suspect_count);
+  for (uint32_t i = 0; i < gossip->suspect_count; i++)
+    {
+      (void) msgpack_pack_array (packer, 3);
+      (void) msgpack_pack_uint64 (packer, gossip->suspects[i].fingerprint);
+      (void) msgpack_pack_uint64 (packer, gossip->suspects[i].backend_id);
+      (void) msgpack_pack_uint32 (packer, gossip->suspects[i].strikes);
+    }
+}
+
+static int
+pack_gossip (msgpack_packer *packer, const TtPeerGossip *gossip)
+{
+  if (gossip->member_count > TT_PEER_MEMBERS || gossip->load_count > TT_PEER_LOADS
+      || gossip->account_count > TT_PEER_ACCOUNTS || gossip->suspect_count > TT_PEER_SUSPECTS
+      || gossip->leaving_count > TT_PEER_SLOTS || gossip->domain_count > TT_PEER_DOMAINS)
+    return TT_E_INVALID;
+  (void) msgpack_pack_array (packer, 6);
+  pack_members (packer, gossip);
+  pack_loads (packer, gossip);
+  pack_accounts (packer, gossip);
+  pack_suspects (packer, gossip);
+  (void) msgpack_pack_array (packer, gossip->leaving_count);
+  for (uint32_t i = 0; i < gossip->leaving_count; i++)
+    (void) msgpack_pack_uint64 (packer, gossip->leaving[i]);
+  (void) msgpack_pack_array (packer, gossip->domain_count);
+  for (uint32_t i = 0; i < gossip->domain_count; i++)
+    {
+      (void) msgpack_pack_array (packer, 4);
+      (void) msgpack_pack_uint64 (packer, gossip->domains[i].domain_id);
+      (void) msgpack_pack_uint64 (packer, gossip->domains[i].generation);
+      (void) msgpack_pack_uint64 (packer, gossip->domains[i].epoch);
+      (void) msgpack_pack_uint32 (packer, gossip->domains[i].members);
+    }
+  return TT_OK;
+}
+
+static int
+pack_share (msgpack_packer *packer, const TtPeerShare *share)
+{
+  if (share->slot_count > TT_PEER_SLOTS)
+    return TT_E_INVALID;
+  (void) msgpack_pack_array (packer, 2);
+  (void) msgpack_pack_uint32 (packer, share->sequence);
+  (void) msgpack_pack_array (packer, share->slot_count);
+  for (uint32_t i = 0; i < share->slot_count; i++)
+    {
+      (void) msgpack_pack_array (packer, 4);
+      (void) msgpack_pack_uint64 (packer, share->slots[i].backend_id);
+      (void) msgpack_pack_uint32 (packer, share->slots[i].used);
+      (void) msgpack_pack_uint32 (packer, share->slots[i].slots);
+      (void) msgpack_pack_uint32 (packer, share->slots[i].period_ms);
+    }
+  return TT_OK;
+}
+
+static int
+pack_document (msgpack_packer *packer, const TtPeerDocument *document)
+{
+  if (document->text_size > TT_MAX_DOCUMENT_BYTES)
+    return TT_E_INVALID;
+  (void) msgpack_pack_array (packer, 7);
+  (void) msgpack_pack_uint64 (packer, document->generation);
+  (void) msgpack_pack_uint64 (packer, document->epoch);
+  pack_string (packer, document->team);
+  pack_string (packer, document->author);
+  (void) msgpack_pack_int64 (packer, document->staged_s);
+  (void) msgpack_pack_bin_with_body (packer, document->hash.bytes, sizeof document->hash.bytes);
+  (void) msgpack_pack_str_with_body (packer, document->text, document->text_size);
+  return TT_OK;
+}
+
+static int
+pack_body (msgpack_packer *packer, const TtPeerMessage *message)
+{
+  switch (message->type)
+    {
+    case TT_PEER_GOSSIP:
+      return pack_gossip (packer, &message->gossip);
+    case TT_PEER_SHARE_ASK:
+    case TT_PEER_SHARE_LEND:
+      return pack_share (packer, &message->share);
+    case TT_PEER_DOCUMENT_ASK:
+      (void) msgpack_pack_array (packer, 2);
+      (void) msgpack_pack_uint64 (packer, message->document.generation);
+      (void) msgpack_pack_uint64 (packer, message->document.epoch);
+      return TT_OK;
+    case TT_PEER_DOCUMENT:
+      return pack_document (packer, &message->document);
+    case TT_PEER_LEAVE:
+      (void) msgpack_pack_array (packer, 0);
+      return TT_OK;
+    default:
+      return TT_E_INVALID;
+    }
+}
+
+/// msgpack's writer with the first failed allocation kept, so that it is checked once.
+typedef struct
+{
+  msgpack_sbuffer buffer;
+  bool failed;
+} Output;
+
+static int
+append (void *context, const char *data, size_t size)
+{
+  Output *output = context;
+
+  output->failed = output->failed || msgpack_sbuffer_write (&output->buffer, data, size) != 0;
+  return 0;
+}
+
+int
+tt_peer_write (const TtPeerMessage *message, const char *fleet, char **data, size_t *size)
+{
+  Output output = { .failed = false };
+  msgpack_packer packer;
+  int code;
+
+  msgpack_sbuffer_init (&output.buffer);
+  msgpack_packer_init (&packer, &output, append);
+  (void) msgpack_pack_array (&packer, 6);
+  (void) msgpack_pack_uint32 (&packer, TT_PEER_VERSION);
+  pack_string (&packer, fleet);
+  (void) msgpack_pack_uint32 (&packer, (uint32_t) message->type);
+  (void) msgpack_pack_uint64 (&packer, message->sender_id);
+  (void) msgpack_pack_uint64 (&packer, message->sender_incarnation);
+  code = pack_body (&packer, message);
+  if (code == TT_OK && output.failed)
+    code = TT_E_NO_MEMORY;
+  if (code != TT_OK)
+    {
+      msgpack_sbuffer_destroy (&output.buffer);
+      return code;
+    }
+  *size = output.buffer.size;
+  *data = msgpack_sbuffer_release (&output.buffer);
+  return TT_OK;
+}
--- /dev/null
+++ b/test/codec/peer_test.c
@@ -0,0 +1,292 @@
+#include "support/unit.h"
+#include "tarragontrack/board/rng.h"
+#include "tarragontrack/codec/msgpack_scan.h"
+#include "tarragontrack/codec/peer.h"
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /// Control traffic per daemon and second, docs/design.md, section 1.2 (M1).
+  CONTROL_BYTES_PER_S = 11000,
+  GOSSIP_MESSAGES_PER_S = 2 ///< docs/design.md, section 5.8
+};
+
+static TtPeerMessage message;
+
+/// A gossip message with all its records.
+static void
+fill_gossip (void)
+{
+  TtPeerGossip *gossip = &message.gossip;
+
+  memset (&message, 0, sizeof message);
+  message.type = TT_PEER_GOSSIP;
+  message.sender_id = UINT64_MAX;
+  message.sender_incarnation = UINT64_C (1796371200000000);
+  gossip->member_count = TT_PEER_MEMBERS;
+  gossip->load_count = TT_PEER_LOADS;
+  gossip->account_count = TT_PEER_ACCOUNTS;
+  gossip->suspect_count = TT_PEER_SUSPECTS;
+  gossip->leaving_count = TT_PEER_SLOTS;
+  gossip->domain_count = TT_PEER_DOMAINS;
+  for (uint32_t i = 0; i < TT_PEER_MEMBERS; i++)
+    {
+      TtMemberEntry *entry = &gossip->members[i];
+
+      *entry = (TtMemberEntry){ .id = UINT64_MAX - i,
+                                .domain_id = UINT64_MAX / (i % 8 == 7 ? 3 : 2),
+                                .incarnation = message.sender_incarnation,
+                                .heartbeat = 100000,
+                                .state = (TtMemberState) (i % 4),
+                                .epoch = 70000,
+                                .generation = 1,
+                                .port = 17001 };
+      (void) snprintf (entry->address, sizeof entry->address, i % 9 == 8 ? "fd00::%x" : "10.0.0.%u",
+                       i + 1);
+    }
+  for (uint32_t i = 0; i < TT_PEER_LOADS; i++)
+    gossip->loads[i] = (TtPeerLoad){ UINT64_MAX - i, i, 200 };
+  for (uint32_t i = 0; i < TT_PEER_ACCOUNTS; i++)
+    gossip->accounts[i] = (TtPeerAccount){ UINT64_MAX - i, UINT64_MAX, 300 };
+  for (uint32_t i = 0; i < TT_PEER_SUSPECTS; i++)
+    gossip->suspects[i] = (TtPeerSuspect){ UINT64_MAX - i, UINT64_MAX, 2 };
+  for (uint32_t i = 0; i < TT_PEER_SLOTS; i++)
+    gossip->leaving[i] = UINT64_MAX - i;
+  for (uint32_t i = 0; i < TT_PEER_DOMAINS; i++)
+    gossip->domains[i] = (TtPeerDomain){ UINT64_MAX - i, 1, 70000, 33 };
+}
+
+/// Writes the message and reads it back; the verdict of the reader.
+static int
+exchange (TtPeerReader *reader, const char *fleet, const TtPeerMessage **read, size_t *size)
+{
+  char *data = NULL;
+  TtError error = { 0 };
+  int code;
+
+  CU_ASSERT_EQUAL_FATAL (tt_peer_write (&message, fleet, &data, size), TT_OK);
+  code = tt_peer_read (reader, data, *size, read, &error);
+  CU_ASSERT_EQUAL (code, error.code);
+  free (data);
+  return code;
+}
+
+/// Guards against lost or changed fields, and gossip above the control-traffic limit (M1).
+static void
+gossip_is_kept (void)
+{
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  size_t size;
+
+  fill_gossip ();
+  CU_ASSERT_EQUAL_FATAL (exchange (reader, "fleet", &read, &size), TT_OK);
+  CU_ASSERT (memcmp (read, &message, sizeof message) == 0);
+  printf ("[full gossip message: %zu bytes] ", size);
+  CU_ASSERT (size * GOSSIP_MESSAGES_PER_S < CONTROL_BYTES_PER_S);
+  tt_peer_reader_free (reader);
+}
+
+/// Guards against a changed share message or leave message.
+static void
+share_is_kept (void)
+{
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  size_t size;
+
+  memset (&message, 0, sizeof message);
+  message.type = TT_PEER_SHARE_LEND;
+  message.sender_id = 5;
+  message.share.sequence = UINT32_MAX;
+  message.share.slot_count = TT_PEER_SLOTS;
+  for (uint32_t i = 0; i < TT_PEER_SLOTS; i++)
+    message.share.slots[i] = (TtPeerSlot){ i + 1, i, 2 * i, 2000 };
+  CU_ASSERT_EQUAL_FATAL (exchange (reader, "fleet", &read, &size), TT_OK);
+  CU_ASSERT (memcmp (read, &message, sizeof message) == 0);
+  memset (&message, 0, sizeof message);
+  message.type = TT_PEER_LEAVE;
+  message.sender_id = 5;
+  CU_ASSERT_EQUAL_FATAL (exchange (reader, "fleet", &read, &size), TT_OK);
+  CU_ASSERT (read->type == TT_PEER_LEAVE && read->sender_id == 5);
+  tt_peer_reader_free (reader);
+}
+
+static void
+fill_document (const char *text)
+{
+  memset (&message, 0, sizeof message);
+  message.type = TT_PEER_DOCUMENT;
+  message.sender_id = 5;
+  message.document.generation = 2;
+  message.document.epoch = 9;
+  message.document.staged_s = -1;
+  memset (message.document.hash.bytes, 0xab, sizeof message.document.hash.bytes);
+  (void) snprintf (message.document.team, TT_NAME_MAX, "licensing");
+  (void) snprintf (message.document.author, TT_NAME_MAX, "op");
+  message.document.text = text;
+  message.document.text_size = (uint32_t) strlen (text);
+}
+
+/// Guards against a document that is not parsed on arrival, or whose refusal hides its epoch.
+static void
+document_is_parsed (void)
+{
+  static const char good[]
+      = "{\"team\": \"licensing\", \"schema\": 1, \"services\": [], \"accounts\": []} // note";
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  size_t size;
+
+  fill_document (good);
+  CU_ASSERT_EQUAL_FATAL (exchange (reader, "fleet", &read, &size), TT_OK);
+  CU_ASSERT_STRING_EQUAL (read->document.text, good);
+  CU_ASSERT_EQUAL (read->document.staged_s, -1);
+  CU_ASSERT (tt_digest_equal (&read->document.hash, &message.document.hash));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read->document.document);
+  CU_ASSERT_STRING_EQUAL (read->document.document->team, "licensing");
+  fill_document ("{\"team\": 3}");
+  CU_ASSERT_EQUAL_FATAL (exchange (reader, "fleet", &read, &size), TT_OK);
+  CU_ASSERT_PTR_NULL (read->document.document);
+  CU_ASSERT_EQUAL (read->document.error.code, TT_E_INVALID);
+  CU_ASSERT_EQUAL (read->document.epoch, 9);
+  tt_peer_reader_free (reader);
+}
+
+/// Writes a LEAVE message by hand, with more fields than this version knows.
+static int
+read_by_hand (unsigned version, unsigned type, unsigned extra)
+{
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  int code;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 6 + extra);
+  msgpack_pack_uint32 (&packer, version);
+  msgpack_pack_str_with_body (&packer, "fleet", 5);
+  msgpack_pack_uint32 (&packer, type);
+  msgpack_pack_uint64 (&packer, 7);
+  msgpack_pack_uint64 (&packer, 8);
+  msgpack_pack_array (&packer, 3);
+  msgpack_pack_uint64 (&packer, 11);
+  msgpack_pack_uint64 (&packer, 12);
+  msgpack_pack_double (&packer, 0.5);
+  for (unsigned i = 0; i < extra; i++)
+    msgpack_pack_map (&packer, 0);
+  code = tt_peer_read (reader, buffer.data, buffer.size, &read, NULL);
+  if (code == TT_OK && type == TT_PEER_DOCUMENT_ASK)
+    CU_ASSERT_EQUAL (read->document.epoch, 12);
+  msgpack_sbuffer_destroy (&buffer);
+  tt_peer_reader_free (reader);
+  return code;
+}
+
+/// Guards against refusing a newer minor form, and against accepting an unknown one.
+static void
+versions (void)
+{
+  CU_ASSERT_EQUAL (read_by_hand (1, TT_PEER_DOCUMENT_ASK, 0), TT_OK);
+  CU_ASSERT_EQUAL (read_by_hand (1, TT_PEER_DOCUMENT_ASK, 3), TT_OK);
+  CU_ASSERT_EQUAL (read_by_hand (1, TT_PEER_LEAVE, 2), TT_OK);
+  CU_ASSERT_EQUAL (read_by_hand (2, TT_PEER_LEAVE, 0), TT_E_VERSION);
+  CU_ASSERT_EQUAL (read_by_hand (0, TT_PEER_LEAVE, 0), TT_E_VERSION);
+  CU_ASSERT_EQUAL (read_by_hand (1, TT_PEER_LEAVE + 1, 0), TT_E_MALFORMED);
+}
+
+/// Guards against messages of another fleet.
+static void
+other_fleet (void)
+{
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  size_t size;
+
+  fill_gossip ();
+  CU_ASSERT_EQUAL (exchange (reader, "fleet2", &read, &size), TT_E_AUTH);
+  CU_ASSERT_PTR_NULL (read);
+  tt_peer_reader_free (reader);
+}
+
+/// Guards against lengths that the bytes cannot hold, which would allocate gigabytes.
+static void
+absurd_lengths (void)
+{
+  static const char *const texts[] = { "\xdd\xff\xff\xff\xff",
+                                       "\xdf\xff\xff\xff\xff",
+                                       "\xc6\xff\xff\xff\xff",
+                                       "\xdb\x7f\xff",
+                                       "\x96\xdd\x00\x00\x00\x06",
+                                       "\xc1",
+                                       "\x91",
+                                       "\x01\x01" };
+  static const size_t sizes[] = { 5, 5, 5, 3, 6, 1, 1, 2 };
+  static char nested[200];
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+
+  for (unsigned i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      CU_ASSERT_FALSE (tt_msgpack_scan (texts[i], sizes[i]));
+      CU_ASSERT_EQUAL (tt_peer_read (reader, texts[i], sizes[i], &read, NULL), TT_E_MALFORMED);
+    }
+  memset (nested, 0x91, sizeof nested - 1);
+  CU_ASSERT_EQUAL (tt_peer_read (reader, nested, sizeof nested, &read, NULL), TT_E_LIMIT);
+  CU_ASSERT_EQUAL (tt_peer_read (reader, nested, TT_PEER_MESSAGE_MAX + 1, &read, NULL), TT_E_LIMIT);
+  CU_ASSERT_EQUAL (tt_peer_read (reader, nested, 0, &read, NULL), TT_E_MALFORMED);
+  tt_peer_reader_free (reader);
+}
+
+/// Guards against reads out of bounds; the sanitizers see them. Each message is in an allocation
+/// of its exact size.
+static void
+truncated_or_changed (void)
+{
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+  TtRng rng;
+  char *data;
+  size_t size;
+
+  tt_rng_init (&rng, 1, 2);
+  fill_gossip ();
+  CU_ASSERT_EQUAL_FATAL (tt_peer_write (&message, "fleet", &data, &size), TT_OK);
+  for (size_t cut = 0; cut < size; cut += 1 + cut / 64)
+    {
+      char *part = malloc (cut > 0 ? cut : 1);
+
+      memcpy (part, data, cut);
+      CU_ASSERT_EQUAL (tt_peer_read (reader, part, cut, &read, NULL), TT_E_MALFORMED);
+      free (part);
+    }
+  for (unsigned i = 0; i < 3000; i++)
+    {
+      size_t at = (size_t) (tt_rng_next (&rng) % size);
+      char before = data[at];
+
+      data[at] = (char) tt_rng_next (&rng);
+      (void) tt_peer_read (reader, data, size, &read, NULL);
+      data[at] = before;
+    }
+  CU_ASSERT_EQUAL (tt_peer_read (reader, data, size, &read, NULL), TT_OK);
+  free (data);
+  tt_peer_reader_free (reader);
+}
+
+static const UnitTest tests[] = {
+  { "gossip_is_kept", gossip_is_kept },
+  { "share_is_kept", share_is_kept },
+  { "document_is_parsed", document_is_parsed },
+  { "versions", versions },
+  { "other_fleet", other_fleet },
+  { "absurd_lengths", absurd_lengths },
+  { "truncated_or_changed", truncated_or_changed },
+};
+
+UNIT_MAIN ("peer", tests)
