--- a/src/tarragontrack/codec/json.c
+++ b/src/tarragontrack/codec/json.c
@@ -14,6 +14,38 @@
                        path[0] != '\0' ? "." : "", key, expected);
 }
 
+/// True if the text holds only white space and comments.
+static bool
+is_blank (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if (text[i] == '/' && i + 1 < size && text[i + 1] == '/')
+        while (i + 1 < size && text[i + 1] != '\n')
+          i++;
+      else if (text[i] == '/' && i + 1 < size && text[i + 1] == '*')
+        {
+          for (i += 2; i + 1 < size && (text[i] != '*' || text[i + 1] != '/'); i++)
+            ;
+          i++;
+        }
+      else if (strchr (" \t\r\n", text[i]) == NULL || text[i] == '\0')
+        return false;
+    }
+  return true;
+}
+
+/// Why a text was refused that ended with @code.
+static const char *
+refusal_reason (enum json_tokener_error code, const json_object *value)
+{
+  if (code == json_tokener_continue)
+    return "expected more text";
+  if (code != json_tokener_success)
+    return json_tokener_error_desc (code);
+  return value == NULL ? "expected a value other than null" : "unexpected text after the value";
+}
+
 json_object *
 tt_json_parse (const char *text, size_t size, const char *name, TtStep step, TtError *error)
 {
@@ -30,17 +62,17 @@
     }
   value = json_tokener_parse_ex (tokener, text, (int) size);
   code = json_tokener_get_error (tokener);
+  end = code == json_tokener_continue ? size : json_tokener_get_parse_end (tokener);
   if (code == json_tokener_continue)
     value = json_tokener_parse_ex (tokener, "\n", 1), code = json_tokener_get_error (tokener);
-  end = json_tokener_get_parse_end (tokener);
   json_tokener_free (tokener);
-  if (code == json_tokener_success && value != NULL)
+  if (code == json_tokener_success && value != NULL && is_blank (text + end, size - end))
     return value;
   for (size_t i = 0; i < end && i < size; i++)
     line += text[i] == '\n' ? 1 : 0;
   (void) tt_error_set (error, TT_E_MALFORMED, step, name, "line %u: %s", line,
-                       code == json_tokener_continue ? "expected more text"
-                                                     : json_tokener_error_desc (code));
+                       refusal_reason (code, value));
+  json_object_put (value);
   return NULL;
 }
 
