--- a/test/support/uv_peer.c
+++ b/test/support/uv_peer.c
@@ -143,7 +143,7 @@
   (void) uv_tcp_init (loop, &peer->listener);
   peer->listener.data = peer;
   (void) uv_tcp_bind (&peer->listener, (const struct sockaddr *) &address, 0);
-  (void) uv_listen ((uv_stream_t *) &peer->listener, 16, accept_connection);
+  (void) uv_listen ((uv_stream_t *) &peer->listener, 256, accept_connection);
   return peer;
 }
 
