--- /dev/null
+++ b/src/tarragonctl/apply.c
@@ -0,0 +1,260 @@
+#include "commands.h"
+#include "document.h"
+#include "head.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/codec/digest.h"
+#include "tarragontrack/codec/object.h"
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_TRIES 8 ///< conditional updates of the head that other teams' changes may defeat
+#define POLL_US (200 * 1000)
+
+/// A change on its way.
+typedef struct
+{
+  const CtlOptions *options;
+  CtlSession *session;
+  TtDocument *document;
+  TtObject object; ///< documents/HASH
+  gint64 base;     ///< epoch that the operator edited; -1 = unknown
+  CtlHead head;
+  uint64_t epoch; ///< of this change
+} Change;
+
+/// Prints the result of an apply.
+static void
+print_result (const Change *change, const char *state)
+{
+  if (change->options->json)
+    {
+      json_object *answer = json_object_new_object ();
+
+      json_object_object_add (answer, "team", json_object_new_string (change->document->team));
+      json_object_object_add (answer, "epoch", json_object_new_uint64 (change->epoch));
+      json_object_object_add (answer, "state", json_object_new_string (state));
+      (void) printf ("%s\n", json_object_to_json_string (answer));
+      json_object_put (answer);
+    }
+  else
+    (void) printf ("team %s: epoch %" G_GUINT64_FORMAT " is %s\n", change->document->team,
+                   change->epoch, state);
+}
+
+/// Another operator was first: shows both versions and the changed keys.
+static CtlExit
+show_conflict (Change *change, const TtHeadTeam *team)
+{
+  char *text = NULL;
+  char *author = NULL;
+  int code = ctl_head_document (change->session, team, &text, &author);
+
+  if (code < 0)
+    return ctl_fail (change->options->platform, code);
+  (void) fprintf (stderr,
+                  "tarragonctl: nothing was written: epoch %" G_GUINT64_FORMAT
+                  " of team %s was applied by %s, your file is based on %s%" G_GINT64_FORMAT "\n",
+                  team->epoch, team->team, author, change->base < 0 ? "no known epoch, " : "epoch ",
+                  change->base);
+  (void) printf ("--- epoch %" G_GUINT64_FORMAT " by %s\n%s\n--- your file\n%s\n--- changed keys\n",
+                 team->epoch, author, text, change->object.document.text);
+  ctl_document_compare (text, change->object.document.text);
+  g_free (text);
+  g_free (author);
+  return CTL_EXIT_CONFLICT;
+}
+
+/// Fills in the object documents/HASH and its hash, which is that of the stored text.
+static int
+make_object (Change *change, const char *text, gsize size)
+{
+  TtDocumentObject *document = &change->object.document;
+  char *stored = NULL;
+  size_t stored_size = 0;
+  TtError error = { 0 };
+  int code;
+
+  change->object.type = TT_OBJECT_DOCUMENT;
+  (void) g_strlcpy (document->team, change->document->team, sizeof document->team);
+  (void) g_strlcpy (document->author,
+                    change->options->author != NULL ? change->options->author : "unknown",
+                    sizeof document->author);
+  document->staged_s = g_get_real_time () / G_USEC_PER_SEC;
+  document->text = text;
+  document->text_size = (uint32_t) size;
+  code = tt_object_write (&change->object, "documents/", &stored, &stored_size, &error);
+  if (code == TT_OK)
+    code = tt_digest_compute (stored, stored_size, &document->hash);
+  free (stored);
+  return code;
+}
+
+/// Stores the document's object. It is named by its content, so an object that is there already is
+/// the same.
+static int
+store_document (Change *change)
+{
+  char key[TT_KEY_MAX];
+  int code;
+
+  ctl_document_key (&change->object.document.hash, key);
+  code = ctl_session_call (change->session, TT_PLATFORM_PUT, key, 0, &change->object, NULL, NULL);
+  return code == TT_E_CONFLICT ? TT_OK : code;
+}
+
+/// Puts the change into the head that was read.
+static void
+extend_head (Change *change, TtObject *object)
+{
+  CtlHead *head = &change->head;
+  TtHeadTeam *team;
+
+  object->type = TT_OBJECT_HEAD;
+  if (head->head.generation == 0)
+    head->head.generation = 1;
+  change->epoch = ++head->head.epoch;
+  team = ctl_head_team (head, change->document->team);
+  if (team == NULL)
+    {
+      team = &head->head.teams[head->head.team_count++];
+      (void) g_strlcpy (team->team, change->document->team, sizeof team->team);
+    }
+  team->epoch = change->epoch;
+  team->hash = change->object.document.hash;
+  object->head = head->head;
+}
+
+/// Tries one conditional update of the head. A lost answer is resolved by reading back.
+///
+/// RETURN     TT_OK when staged, TT_E_CONFLICT to read and decide again, or another error number
+static int
+update_head (Change *change)
+{
+  TtObject *object = g_new0 (TtObject, 1);
+  const TtHeadTeam *team;
+  int code;
+
+  extend_head (change, object);
+  code = ctl_session_call (change->session, TT_PLATFORM_PUT, "config/head", change->head.version,
+                           object, NULL, NULL);
+  g_free (object);
+  if (code == TT_E_TIMEOUT && ctl_head_read (change->session, &change->head) == TT_OK)
+    {
+      team = ctl_head_team (&change->head, change->document->team);
+      if (team != NULL && tt_digest_equal (&team->hash, &change->object.document.hash))
+        {
+          change->epoch = team->epoch;
+          return TT_OK;
+        }
+      return TT_E_CONFLICT;
+    }
+  return code;
+}
+
+/// Stages the change, unless another operator was first.
+static CtlExit
+stage (Change *change)
+{
+  int code = store_document (change);
+
+  for (int i = 0; code == TT_OK && i < HEAD_TRIES; i++)
+    {
+      const TtHeadTeam *team;
+
+      code = ctl_head_read (change->session, &change->head);
+      if (code < 0)
+        break;
+      team = ctl_head_team (&change->head, change->document->team);
+      if (team != NULL && (gint64) team->epoch != change->base)
+        return show_conflict (change, team);
+      if (team == NULL && change->head.head.team_count == TT_MAX_TEAMS)
+        return ctl_fail ("config/head", TT_E_LIMIT);
+      code = update_head (change);
+      if (code == TT_OK)
+        return CTL_EXIT_OK;
+      if (code == TT_E_CONFLICT)
+        code = TT_OK;
+    }
+  return ctl_fail (change->options->platform, code == TT_OK ? TT_E_CONFLICT : code);
+}
+
+static void
+take_accepted (void *context, const TtPlatformEvent *answer)
+{
+  uint64_t *epoch = context;
+
+  if (answer->object != NULL && answer->object->type == TT_OBJECT_ACCEPTED)
+    *epoch = answer->object->accepted.epoch;
+}
+
+/// Waits until the change is accepted or the time is over.
+static bool
+wait_accepted (const Change *change)
+{
+  gint64 end = g_get_monotonic_time () + (gint64) change->options->wait_s * G_USEC_PER_SEC;
+  uint64_t accepted = 0;
+
+  while (accepted < change->epoch && g_get_monotonic_time () < end)
+    {
+      (void) ctl_session_call (change->session, TT_PLATFORM_GET, "config/accepted", 0, NULL,
+                               take_accepted, &accepted);
+      if (accepted < change->epoch)
+        g_usleep (POLL_US);
+    }
+  return accepted >= change->epoch;
+}
+
+/// Applies a document that was read and checked.
+static CtlExit
+apply_text (Change *change, const char *text, gsize size)
+{
+  CtlExit code;
+
+  change->base = change->options->base >= 0 ? change->options->base : ctl_document_base (text);
+  if (make_object (change, text, size) < 0)
+    return CTL_EXIT_REFUSED;
+  code = stage (change);
+  if (code == CTL_EXIT_OK)
+    {
+      bool accepted = change->options->wait_s > 0 && wait_accepted (change);
+
+      print_result (change, accepted ? "accepted" : "staged");
+      if (change->options->wait_s > 0 && !accepted)
+        code = CTL_EXIT_UNKNOWN;
+    }
+  return code;
+}
+
+CtlExit
+ctl_apply (const CtlOptions *options, int count, char **arguments)
+{
+  Change *change = g_new0 (Change, 1);
+  TtError error = { 0 };
+  char *text = NULL;
+  gsize size = 0;
+  CtlExit code;
+
+  (void) count;
+  change->options = options;
+  change->document = g_new0 (TtDocument, 1);
+  code = ctl_document_read (arguments[0], &text, &size, change->document, &error);
+  if (code == CTL_EXIT_OK)
+    {
+      change->session = ctl_session_new (options);
+      code = apply_text (change, text, size);
+      ctl_session_free (change->session);
+    }
+  else
+    {
+      char line[TT_PEER_MAX + TT_DETAIL_MAX + 64];
+
+      tt_error_format (&error, line, sizeof line);
+      (void) fprintf (stderr, "tarragonctl: %s\n", line);
+    }
+  g_free (text);
+  g_free (change->document);
+  g_free (change);
+  return code;
+}
--- /dev/null
+++ b/src/tarragonctl/audit.c
@@ -0,0 +1,156 @@
+#include "commands.h"
+#include "ctl.h"
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+/// Walks the trail from the first entry.
+typedef struct
+{
+  TtAuditObject entry;
+  TtDigest expected; ///< hash that the entry must hold
+  bool found;
+  uint64_t last; ///< number in config/accepted
+} Trail;
+
+static void
+take_accepted (void *context, const TtPlatformEvent *answer)
+{
+  Trail *trail = context;
+
+  if (answer->object != NULL && answer->object->type == TT_OBJECT_ACCEPTED)
+    trail->last = answer->object->accepted.audit_number;
+}
+
+static void
+take_entry (void *context, const TtPlatformEvent *answer)
+{
+  Trail *trail = context;
+
+  trail->found = answer->object != NULL && answer->object->type == TT_OBJECT_AUDIT;
+  if (trail->found)
+    trail->entry = answer->object->audit;
+}
+
+/// Time as text in UTC.
+static char *
+format_time (int64_t seconds)
+{
+  GDateTime *time = g_date_time_new_from_unix_utc (seconds);
+  char *text = time != NULL ? g_date_time_format (time, "%Y-%m-%dT%H:%M:%SZ") : g_strdup ("-");
+
+  if (time != NULL)
+    g_date_time_unref (time);
+  return text;
+}
+
+static void
+print_entry (const TtAuditObject *entry, bool verified)
+{
+  char *staged = format_time (entry->staged_s);
+  char *accepted = format_time (entry->accepted_s);
+
+  (void) printf ("%4" G_GUINT64_FORMAT "  epoch %" G_GUINT64_FORMAT "  %s by %s\n", entry->number,
+                 entry->epoch, entry->team, entry->author);
+  (void) printf ("      staged %s, accepted %s%s\n", staged, accepted,
+                 verified ? "" : "  CHAIN BROKEN");
+  for (uint32_t i = 0; i < entry->domain_count; i++)
+    {
+      char *time = format_time (entry->domains[i].in_force_s);
+
+      (void) printf ("      %-20s %s %s\n", entry->domains[i].name,
+                     entry->domains[i].excluded ? "cut off, refuses since" : "in force", time);
+      g_free (time);
+    }
+  g_free (staged);
+  g_free (accepted);
+}
+
+/// The entry as JSON.
+static json_object *
+describe_entry (const TtAuditObject *entry, bool verified)
+{
+  json_object *object = json_object_new_object ();
+  json_object *domains = json_object_new_array ();
+
+  json_object_object_add (object, "number", json_object_new_uint64 (entry->number));
+  json_object_object_add (object, "epoch", json_object_new_uint64 (entry->epoch));
+  json_object_object_add (object, "team", json_object_new_string (entry->team));
+  json_object_object_add (object, "author", json_object_new_string (entry->author));
+  json_object_object_add (object, "staged_s", json_object_new_int64 (entry->staged_s));
+  json_object_object_add (object, "accepted_s", json_object_new_int64 (entry->accepted_s));
+  json_object_object_add (object, "verified", json_object_new_boolean (verified));
+  for (uint32_t i = 0; i < entry->domain_count; i++)
+    {
+      json_object *domain = json_object_new_object ();
+
+      json_object_object_add (domain, "name", json_object_new_string (entry->domains[i].name));
+      json_object_object_add (domain, "in_force_s",
+                              json_object_new_int64 (entry->domains[i].in_force_s));
+      json_object_object_add (domain, "excluded",
+                              json_object_new_boolean (entry->domains[i].excluded));
+      (void) json_object_array_add (domains, domain);
+    }
+  json_object_object_add (object, "domains", domains);
+  return object;
+}
+
+/// Reads, verifies and prints the entries.
+static CtlExit
+walk (CtlSession *session, const CtlOptions *options, Trail *trail)
+{
+  json_object *array = json_object_new_array ();
+  uint64_t broken = 0;
+  int code = TT_OK;
+
+  for (uint64_t number = 1; number <= trail->last && code == TT_OK; number++)
+    {
+      char key[TT_KEY_MAX];
+      bool verified;
+
+      (void) snprintf (key, sizeof key, "audit/%" G_GUINT64_FORMAT, number);
+      code = ctl_session_call (session, TT_PLATFORM_GET, key, 0, NULL, take_entry, trail);
+      if (code < 0 || !trail->found)
+        break;
+      verified = trail->entry.number == number
+                 && tt_digest_equal (&trail->entry.previous_hash, &trail->expected);
+      broken += verified ? 0 : 1;
+      trail->expected = trail->entry.hash;
+      if (options->json)
+        (void) json_object_array_add (array, describe_entry (&trail->entry, verified));
+      else
+        print_entry (&trail->entry, verified);
+    }
+  if (options->json)
+    (void) printf ("%s\n", json_object_to_json_string (array));
+  json_object_put (array);
+  if (code == TT_E_NOT_FOUND)
+    broken++;
+  else if (code < 0)
+    return ctl_fail (options->platform, code);
+  if (!options->json)
+    (void) printf ("%" G_GUINT64_FORMAT " entries, %s\n", trail->last,
+                   broken == 0 ? "the chain is whole" : "THE CHAIN IS BROKEN");
+  return broken == 0 ? CTL_EXIT_OK : CTL_EXIT_REFUSED;
+}
+
+CtlExit
+ctl_audit (const CtlOptions *options, int count, char **arguments)
+{
+  CtlSession *session = ctl_session_new (options);
+  Trail *trail = g_new0 (Trail, 1);
+  int code;
+  CtlExit result;
+
+  (void) count;
+  (void) arguments;
+  code = ctl_session_call (session, TT_PLATFORM_GET, "config/accepted", 0, NULL, take_accepted,
+                           trail);
+  if (code < 0 && code != TT_E_NOT_FOUND)
+    result = ctl_fail (options->platform, code);
+  else
+    result = walk (session, options, trail);
+  g_free (trail);
+  ctl_session_free (session);
+  return result;
+}
--- /dev/null
+++ b/src/tarragonctl/ctl_defs.h
@@ -0,0 +1,43 @@
+/// Shared types of the command-line tool.
+#pragma once
+
+#include "tarragontrack/board/error_defs.h"
+#include "tarragontrack/board/object_defs.h"
+#include <glib.h>
+#include <stdbool.h>
+
+/// Exit codes, listed in the manual page.
+typedef enum
+{
+  CTL_EXIT_OK = 0,
+  CTL_EXIT_REFUSED = 1,     ///< the document is wrong, or a verification failed
+  CTL_EXIT_USAGE = 2,       ///< wrong arguments
+  CTL_EXIT_CONFLICT = 3,    ///< another operator was first; nothing was written
+  CTL_EXIT_UNREACHABLE = 4, ///< the platform or the daemon could not be reached
+  CTL_EXIT_UNKNOWN = 5      ///< no answer in time; the effect is unknown
+} CtlExit;
+
+typedef struct CtlSession CtlSession;
+
+/// Options that several commands share.
+typedef struct
+{
+  char *platform; ///< http://IP:PORT of the platform's object API
+  char *daemon;   ///< http://IP:PORT of a daemon's operators' port
+  char *author;
+  gboolean json;
+  gint wait_s;
+  gint64 base; ///< epoch the edited document is based on; -1 = from its first line
+  char *output;
+  gboolean watch;
+} CtlOptions;
+
+/// One command. Its options are the entries that it uses.
+typedef struct
+{
+  const char *name;
+  const char *arguments; ///< for --help
+  const char *summary;
+  const char *const *options; ///< long names, NULL-terminated
+  CtlExit (*run) (const CtlOptions *options, int count, char **arguments);
+} CtlCommand;
--- /dev/null
+++ b/src/tarragonctl/explain.c
@@ -0,0 +1,41 @@
+#include "commands.h"
+#include "view.h"
+#include <stdio.h>
+
+/// One attempt in a sentence.
+static void
+print_attempt (json_object *attempt, size_t number)
+{
+  (void) printf ("attempt %zu: service %s, account %s -> %s\n", number,
+                 ctl_view_text (attempt, "service"), ctl_view_text (attempt, "account"),
+                 ctl_view_text (attempt, "backend"));
+  (void) printf ("  reason: %s; position %.0f in the chat's ranking, whose first is %s\n",
+                 ctl_view_text (attempt, "reason"), ctl_view_number (attempt, "rank"),
+                 ctl_view_text (attempt, "home"));
+  if (ctl_view_number (attempt, "resume_from") > 0.0)
+    (void) printf ("  resumed after %.0f tokens\n", ctl_view_number (attempt, "resume_from"));
+}
+
+CtlExit
+ctl_explain (const CtlOptions *options, int count, char **arguments)
+{
+  CtlSession *session = ctl_session_new (options);
+  char *escaped = g_uri_escape_string (arguments[0], NULL, FALSE);
+  char *path = g_strconcat ("/explain/", escaped, NULL);
+  CtlExit code;
+  json_object *answer = ctl_view_get (session, options, path, &code);
+  size_t length = 0;
+  json_object *attempts = answer != NULL ? ctl_view_array (answer, "attempts", &length) : NULL;
+
+  (void) count;
+  if (answer != NULL && options->json)
+    (void) printf ("%s\n", json_object_to_json_string (answer));
+  else
+    for (size_t i = 0; i < length; i++)
+      print_attempt (json_object_array_get_idx (attempts, i), i + 1);
+  json_object_put (answer);
+  g_free (path);
+  g_free (escaped);
+  ctl_session_free (session);
+  return code;
+}
--- /dev/null
+++ b/src/tarragonctl/fetch.c
@@ -0,0 +1,65 @@
+#include "commands.h"
+#include "document.h"
+#include "head.h"
+#include <stdio.h>
+#include <string.h>
+
+/// The text without a base line of an earlier fetch.
+static const char *
+skip_base_line (const char *text)
+{
+  const char *end = strchr (text, '\n');
+
+  return ctl_document_base (text) >= 0 && end != NULL ? end + 1 : text;
+}
+
+/// Writes the document with its base epoch in the first line.
+static CtlExit
+write_document (const CtlOptions *options, const TtHeadTeam *team, const char *text)
+{
+  char *whole = g_strdup_printf ("%s%" G_GUINT64_FORMAT "\n%s", CTL_BASE_LINE, team->epoch,
+                                 skip_base_line (text));
+  GError *error = NULL;
+  CtlExit code = CTL_EXIT_OK;
+
+  if (options->output == NULL)
+    (void) fputs (whole, stdout);
+  else if (!g_file_set_contents (options->output, whole, -1, &error))
+    {
+      (void) fprintf (stderr, "tarragonctl: %s\n", error->message);
+      g_error_free (error);
+      code = CTL_EXIT_REFUSED;
+    }
+  g_free (whole);
+  return code;
+}
+
+CtlExit
+ctl_fetch (const CtlOptions *options, int count, char **arguments)
+{
+  CtlSession *session = ctl_session_new (options);
+  CtlHead *head = g_new0 (CtlHead, 1);
+  int code = ctl_head_read (session, head);
+  TtHeadTeam *team = ctl_head_team (head, arguments[0]);
+  char *text = NULL;
+  char *author = NULL;
+  CtlExit result;
+
+  (void) count;
+  if (code == TT_OK && team != NULL)
+    code = ctl_head_document (session, team, &text, &author);
+  if (code < 0)
+    result = ctl_fail (options->platform, code);
+  else if (team == NULL)
+    {
+      (void) fprintf (stderr, "tarragonctl: team %s has no document\n", arguments[0]);
+      result = CTL_EXIT_REFUSED;
+    }
+  else
+    result = write_document (options, team, text);
+  g_free (text);
+  g_free (author);
+  g_free (head);
+  ctl_session_free (session);
+  return result;
+}
--- /dev/null
+++ b/src/tarragonctl/report.c
@@ -0,0 +1,168 @@
+#include "commands.h"
+#include "view.h"
+#include <stdio.h>
+#include <string.h>
+
+#define SAMPLES 60
+#define SAMPLE_US G_USEC_PER_SEC
+#define WIDTH 640
+#define HEIGHT 160
+
+/// One counter's samples over time.
+typedef struct
+{
+  const char *title;
+  const char *unit;
+  double values[SAMPLES];
+} Series;
+
+/// Value of a counter in the Prometheus text; 0 if absent.
+static double
+counter_value (const char *text, const char *name)
+{
+  size_t length = strlen (name);
+
+  for (const char *line = text; line != NULL && *line != '\0';)
+    {
+      if (strncmp (line, name, length) == 0 && line[length] == ' ')
+        return g_ascii_strtod (line + length, NULL);
+      line = strchr (line, '\n');
+      line = line != NULL ? line + 1 : NULL;
+    }
+  return 0.0;
+}
+
+/// Part of @whole, in percent; 0 while there is none.
+static double
+percent (double part, double whole)
+{
+  return whole > 0.0 ? 100.0 * part / whole : 0.0;
+}
+
+/// Slowest mean time to first token of the backend servers, in ms.
+static double
+slowest_first_token (json_object *status)
+{
+  size_t length;
+  json_object *backends = ctl_view_array (status, "backends", &length);
+  double slowest = 0.0;
+
+  for (size_t i = 0; i < length; i++)
+    slowest
+        = MAX (slowest, ctl_view_number (json_object_array_get_idx (backends, i), "first_token_us")
+                            / 1000.0);
+  return slowest;
+}
+
+/// Adds one sample to each of the four measures.
+static bool
+sample (CtlSession *session, const CtlOptions *options, Series *series, int index, CtlExit *code)
+{
+  json_object *status = ctl_view_get (session, options, "/status", code);
+  char *metrics = NULL;
+  double requests;
+  double queued = 0.0;
+  json_object *stages = NULL;
+
+  if (status == NULL || ctl_session_get (session, "/metrics", &metrics) != 200)
+    {
+      json_object_put (status);
+      g_free (metrics);
+      return false;
+    }
+  requests = counter_value (metrics, "tarragontrack_requests_total");
+  if (json_object_object_get_ex (status, "requests", &stages))
+    queued = ctl_view_number (stages, "queued");
+  series[0].values[index] = percent (counter_value (metrics, "tarragontrack_tokens_cached_total"),
+                                     counter_value (metrics, "tarragontrack_tokens_prompt_total"));
+  series[1].values[index]
+      = percent (counter_value (metrics, "tarragontrack_requests_complete_total"), requests);
+  series[2].values[index] = queued;
+  series[3].values[index] = slowest_first_token (status);
+  json_object_put (status);
+  g_free (metrics);
+  return true;
+}
+
+/// One plot as an SVG element.
+static void
+plot (GString *page, const Series *series, int count)
+{
+  double top = 1.0;
+
+  for (int i = 0; i < count; i++)
+    top = MAX (top, series->values[i]);
+  g_string_append_printf (page, "<h2>%s</h2>\n<svg viewBox=\"0 0 %d %d\" role=\"img\">\n",
+                          series->title, WIDTH + 80, HEIGHT + 24);
+  g_string_append_printf (page,
+                          "<text x=\"4\" y=\"14\">%.1f %s</text><text x=\"4\" y=\"%d\">0</text>\n",
+                          top, series->unit, HEIGHT + 4);
+  g_string_append (page, "<polyline points=\"");
+  for (int i = 0; i < count; i++)
+    g_string_append_printf (page, "%.1f,%.1f ", 70.0 + (double) i * WIDTH / MAX (count - 1, 1),
+                            HEIGHT - series->values[i] / top * (HEIGHT - 10));
+  g_string_append_printf (page,
+                          "\"/>\n<text x=\"70\" y=\"%d\">0 s</text><text x=\"%d\" y=\"%d\">%d "
+                          "s</text>\n</svg>\n<p>last: %.2f %s</p>\n",
+                          HEIGHT + 20, WIDTH + 40, HEIGHT + 20, count, series->values[count - 1],
+                          series->unit);
+}
+
+/// The whole page, without references to other files.
+static char *
+make_page (const CtlOptions *options, const Series *series, int count)
+{
+  char *daemon = g_markup_escape_text (options->daemon, -1);
+  GString *page = g_string_new ("<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+                                "<title>tarragontrack report</title>\n<style>body{font:16px "
+                                "sans-serif;max-width:760px;margin:2em auto}svg{width:100%;"
+                                "background:#f6f6f6}polyline{fill:none;stroke:#0a5;stroke-width:2}"
+                                "text{font:12px sans-serif}</style></head><body>\n");
+
+  g_string_append_printf (
+      page, "<h1>tarragontrack report</h1><p>%s, %d samples, one a second</p>\n", daemon, count);
+  for (int i = 0; i < 4; i++)
+    plot (page, &series[i], count);
+  g_string_append (page, "</body></html>\n");
+  g_free (daemon);
+  return g_string_free (page, FALSE);
+}
+
+CtlExit
+ctl_report (const CtlOptions *options, int count, char **arguments)
+{
+  Series *series = g_new0 (Series, 4);
+  CtlSession *session = ctl_session_new (options);
+  CtlExit code = CTL_EXIT_OK;
+  int taken = 0;
+  char *page;
+  GError *error = NULL;
+
+  (void) count;
+  (void) arguments;
+  series[0] = (Series){ .title = "Prompt-cache reuse", .unit = "% of prompt tokens" };
+  series[1] = (Series){ .title = "Requests answered whole", .unit = "%" };
+  series[2] = (Series){ .title = "Queued requests", .unit = "requests" };
+  series[3] = (Series){ .title = "Slowest backend server, time to first token", .unit = "ms" };
+  while (taken < SAMPLES && sample (session, options, series, taken, &code))
+    {
+      taken++;
+      g_usleep (SAMPLE_US);
+    }
+  if (taken > 0)
+    {
+      page = make_page (options, series, taken);
+      code = CTL_EXIT_OK;
+      if (!g_file_set_contents (options->output != NULL ? options->output : "report.html", page, -1,
+                                &error))
+        {
+          (void) fprintf (stderr, "tarragonctl: %s\n", error->message);
+          g_error_free (error);
+          code = CTL_EXIT_REFUSED;
+        }
+      g_free (page);
+    }
+  g_free (series);
+  ctl_session_free (session);
+  return code;
+}
--- a/src/tarragontrack/board/claim_defs.h
+++ b/src/tarragontrack/board/claim_defs.h
@@ -10,7 +10,8 @@
 {
   TT_CLAIM_SHARDS = 256,         ///< objects claims/SHARD
   TT_CLAIM_OUTCOME_MAX = 1024,   ///< bytes of a recorded answer; longer ones are cut and marked
-  TT_CLAIM_SHARD_ENTRIES = 8192, ///< entries an object may hold; more are refused
+  TT_CLAIM_SHARD_ENTRIES = 4096, ///< entries an object may hold; more are refused
+  TT_CLAIM_SHARD_BYTES = 900000, ///< estimate up to which an object grows; its limit is 1 MB
   TT_CLAIM_QUERIES = 64          ///< open outcome queries of one daemon
 };
 
--- a/src/tarragontrack/control/claim_shard.c
+++ b/src/tarragontrack/control/claim_shard.c
@@ -7,6 +7,7 @@
 #define KEY_KEEP_S (30 * OUTCOME_KEEP_S) ///< a key cannot run again for 30 days
 #define NOT_RUN_KEEP_S INT64_C (3600)    ///< "not run" allows the same as no entry
 #define INITIAL_CAPACITY 16U
+#define ENTRY_BYTES 200U ///< keys, numbers and punctuation of one entry as JSON
 
 TtClaimShard *
 tt_claim_shard_activate (TtBoard *board, TtId128 key, int64_t now_us)
@@ -79,20 +80,31 @@
   return TT_OK;
 }
 
+/// Upper estimate of the object's size as JSON with outcomes in base64.
+static uint32_t
+estimate_bytes (const TtClaimShard *shard)
+{
+  uint32_t bytes = shard->count * ENTRY_BYTES;
+
+  for (uint32_t i = 0; i < shard->count; i++)
+    bytes += shard->entries[i].outcome_size * 4 / 3;
+  return bytes;
+}
+
 /// A new zeroed entry for a key; NULL with @code set if there is no room.
 static TtClaimEntry *
 add_entry (TtClaimShard *shard, TtId128 key, int *code)
 {
   TtClaimEntry *entry;
 
+  *code = TT_E_LIMIT;
+  if (shard->count >= TT_CLAIM_SHARD_ENTRIES || estimate_bytes (shard) > TT_CLAIM_SHARD_BYTES)
+    return NULL;
   if (shard->count == shard->capacity)
     {
       uint32_t capacity = shard->capacity > 0 ? 2 * shard->capacity : INITIAL_CAPACITY;
       TtClaimEntry *entries;
 
-      *code = TT_E_LIMIT;
-      if (shard->count >= TT_CLAIM_SHARD_ENTRIES)
-        return NULL;
       *code = TT_E_NO_MEMORY;
       entries = realloc (shard->entries, capacity * sizeof *entries);
       if (entries == NULL)
@@ -146,7 +158,11 @@
   entry->outcome_cut = claim->outcome_cut;
   free (entry->outcome);
   entry->outcome = NULL;
-  copy_outcome (entry, claim->outcome, claim->outcome_size);
+  entry->outcome_size = 0;
+  if (estimate_bytes (shard) + claim->outcome_size * 4 / 3 <= TT_CLAIM_SHARD_BYTES)
+    copy_outcome (entry, claim->outcome, claim->outcome_size);
+  else
+    entry->outcome_cut = true;
   return TT_OK;
 }
 
