feat(codec): daemon settings

Cause: a daemon needs its names, addresses, keys and limits before it starts, and a wrong file must say what is wrong.

Change: tables of the keys with bounds, units and defaults, offered by tt_settings_fields() for the reference page. Addresses must be IP numbers. Errors name the file, the line or key, and what was expected.

--- /dev/null
+++ b/src/tarragontrack/codec/settings.c
@@ -0,0 +1,280 @@
+#include "tarragontrack/codec/settings.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/codec/json.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIELD(member) offsetof (TtSettings, member), sizeof (((TtSettings *) 0)->member)
+#define COUNT(table) (sizeof (table) / sizeof (table)[0])
+#define MAX_COUNT 1e6
+#define MAX_BYTES 1e8
+#define MAX_TIMEOUT_MS 3.6e6
+
+static const TtJsonField top_fields[] = {
+  { "fleet", TT_JSON_STRING, FIELD (fleet), .required = true },
+  { "name", TT_JSON_STRING, FIELD (name), .required = true },
+  { "domain", TT_JSON_STRING, FIELD (domain), .required = true },
+  { "region", TT_JSON_STRING, FIELD (region), .required = true },
+  { "caller", TT_JSON_NESTED, 0, 0, .required = true },
+  { "operator", TT_JSON_NESTED, 0, 0, .required = true },
+  { "peer", TT_JSON_NESTED, 0, 0, .required = true },
+  { "platform", TT_JSON_NESTED, 0, 0, .required = true },
+  { "curve", TT_JSON_NESTED, 0, 0 },
+  { "limits", TT_JSON_NESTED, 0, 0 },
+  { "drain", TT_JSON_NESTED, 0, 0 },
+};
+
+static const TtJsonField caller_fields[] = {
+  { "address", TT_JSON_STRING, FIELD (caller.address), .required = true },
+  { "port", TT_JSON_UINT16, FIELD (caller.port), .required = true, .maximum = UINT16_MAX },
+  { "certificate_file", TT_JSON_STRING, FIELD (certificate_file) },
+  { "key_file", TT_JSON_STRING, FIELD (key_file) },
+};
+
+static const TtJsonField operator_fields[] = {
+  { "address", TT_JSON_STRING, FIELD (operators.address), .required = true },
+  { "port", TT_JSON_UINT16, FIELD (operators.port), .required = true, .maximum = UINT16_MAX },
+};
+
+static const TtJsonField peer_fields[] = {
+  { "address", TT_JSON_STRING, FIELD (peer.address), .required = true },
+  { "port", TT_JSON_UINT16, FIELD (peer.port), .required = true, .minimum = 1,
+    .maximum = UINT16_MAX },
+};
+
+static const TtJsonField platform_fields[] = {
+  { "url", TT_JSON_STRING, FIELD (platform_url), .required = true },
+};
+
+static const TtJsonField curve_fields[] = {
+  { "secret_key", TT_JSON_STRING, FIELD (curve.secret_key), .required = true },
+  { "public_key", TT_JSON_STRING, FIELD (curve.public_key), .required = true },
+  { "accepted_keys", TT_JSON_NESTED, 0, 0, .required = true },
+};
+
+static const TtJsonField limits_fields[] = {
+  { "max_requests", TT_JSON_UINT32, FIELD (max_requests), .minimum = 1, .maximum = MAX_COUNT,
+    .fallback = 4096, .unit = "requests" },
+  { "max_attempts", TT_JSON_UINT32, FIELD (max_attempts), .minimum = 1, .maximum = MAX_COUNT,
+    .fallback = 8192, .unit = "attempts" },
+  { "max_accounts", TT_JSON_UINT32, FIELD (max_accounts), .minimum = 1, .maximum = MAX_COUNT,
+    .fallback = 2048, .unit = "client accounts" },
+  { "body_bytes", TT_JSON_UINT32, FIELD (max_body_bytes), .minimum = 1024, .maximum = MAX_BYTES,
+    .fallback = 1048576, .unit = "bytes" },
+  { "header_bytes", TT_JSON_UINT32, FIELD (max_header_bytes), .minimum = 1024, .maximum = MAX_BYTES,
+    .fallback = 16384, .unit = "bytes" },
+  { "read_timeout_ms", TT_JSON_UINT32, FIELD (read_timeout_ms), .minimum = 10,
+    .maximum = MAX_TIMEOUT_MS, .fallback = 10000, .unit = "ms" },
+};
+
+static const TtJsonField drain_fields[] = {
+  { "announce_ms", TT_JSON_UINT32, FIELD (drain_announce_ms), .maximum = MAX_TIMEOUT_MS,
+    .fallback = 5000, .unit = "ms" },
+  { "limit_ms", TT_JSON_UINT32, FIELD (drain_limit_ms), .maximum = MAX_TIMEOUT_MS, .unit = "ms" },
+};
+
+typedef struct
+{
+  const char *name;
+  const TtJsonField *fields;
+  size_t count;
+} Table;
+
+static const Table tables[] = {
+  { "settings", top_fields, COUNT (top_fields) },
+  { "caller", caller_fields, COUNT (caller_fields) },
+  { "operator", operator_fields, COUNT (operator_fields) },
+  { "peer", peer_fields, COUNT (peer_fields) },
+  { "platform", platform_fields, COUNT (platform_fields) },
+  { "curve", curve_fields, COUNT (curve_fields) },
+  { "limits", limits_fields, COUNT (limits_fields) },
+  { "drain", drain_fields, COUNT (drain_fields) },
+};
+
+const TtJsonField *
+tt_settings_fields (unsigned index, const char **name, size_t *count)
+{
+  if (index >= COUNT (tables))
+    return NULL;
+  *name = tables[index].name;
+  *count = tables[index].count;
+  return tables[index].fields;
+}
+
+/// Sets TT_E_INVALID with the key and keeps the file's name.
+static int
+refuse (TtError *error, const char *key, const char *expected)
+{
+  char peer[TT_PEER_MAX];
+
+  (void) snprintf (peer, sizeof peer, "%s", error->peer);
+  return tt_error_set (error, TT_E_INVALID, TT_STEP_SETTINGS, peer, "%s: expected %s", key,
+                       expected);
+}
+
+/// True for an IP number; @wildcard tells whether 0.0.0.0 and :: are allowed.
+static bool
+is_address (const char *text, bool wildcard)
+{
+  struct in_addr four;
+  struct in6_addr six;
+
+  if (inet_pton (AF_INET, text, &four) == 1)
+    return wildcard || four.s_addr != 0;
+  return inet_pton (AF_INET6, text, &six) == 1 && (wildcard || !IN6_IS_ADDR_UNSPECIFIED (&six));
+}
+
+/// True for http://IP:PORT, with an IPv6 number in brackets.
+static bool
+is_base_url (const char *url)
+{
+  char host[TT_URL_MAX];
+  const char *port = strrchr (url, ':');
+  char *end;
+  unsigned long number;
+  size_t length;
+
+  if (strncmp (url, "http://", 7) != 0 || port == NULL || port < url + 7 || port[1] < '1'
+      || port[1] > '9')
+    return false;
+  number = strtoul (port + 1, &end, 10);
+  length = (size_t) (port - url) - 7;
+  (void) snprintf (host, sizeof host, "%.*s", (int) length, url + 7);
+  if (length > 2 && host[0] == '[' && host[length - 1] == ']')
+    {
+      host[length - 1] = '\0';
+      memmove (host, host + 1, length - 1);
+    }
+  return *end == '\0' && number <= UINT16_MAX && is_address (host, false);
+}
+
+/// True for the 40 digits of a CURVE key in Z85.
+static bool
+is_curve_key (const char *key)
+{
+  static const char digits[] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                               ".-:+=^!/*?&<>()[]{}@%$#";
+
+  return strlen (key) == TT_CURVE_KEY_SIZE - 1 && strspn (key, digits) == TT_CURVE_KEY_SIZE - 1;
+}
+
+static int
+read_curve (json_object *object, TtCurveKeys *curve, TtError *error)
+{
+  static const char expected[] = "an array of 1 to 8 public keys of 40 Z85 digits";
+  json_object *array = NULL;
+  size_t count = 0;
+
+  if (!is_curve_key (curve->secret_key))
+    return refuse (error, "curve.secret_key", "40 Z85 digits");
+  if (!is_curve_key (curve->public_key))
+    return refuse (error, "curve.public_key", "40 Z85 digits");
+  if (json_object_object_get_ex (object, "accepted_keys", &array)
+      && json_object_is_type (array, json_type_array))
+    count = json_object_array_length (array);
+  if (count < 1 || count > TT_CURVE_KEYS_MAX)
+    return refuse (error, "curve.accepted_keys", expected);
+  for (size_t i = 0; i < count; i++)
+    {
+      json_object *value = json_object_array_get_idx (array, i);
+
+      if (!json_object_is_type (value, json_type_string)
+          || !is_curve_key (json_object_get_string (value)))
+        return refuse (error, "curve.accepted_keys", expected);
+      memcpy (curve->accepted_keys[i], json_object_get_string (value), TT_CURVE_KEY_SIZE);
+    }
+  curve->accepted_count = (uint32_t) count;
+  curve->enabled = true;
+  return TT_OK;
+}
+
+/// Checks that concern more than the type of one key.
+static int
+check_settings (const TtSettings *settings, TtError *error)
+{
+  if (!is_address (settings->caller.address, true))
+    return refuse (error, "caller.address", "an IP number");
+  if (!is_address (settings->operators.address, true))
+    return refuse (error, "operator.address", "an IP number");
+  if (!is_address (settings->peer.address, false))
+    return refuse (error, "peer.address", "an IP number that other daemons can connect to");
+  if (!is_base_url (settings->platform_url))
+    return refuse (error, "platform.url", "http://IP:PORT without a path");
+  if ((settings->certificate_file[0] == '\0') != (settings->key_file[0] == '\0'))
+    return refuse (error, "caller", "certificate_file and key_file, or none of them");
+  return TT_OK;
+}
+
+/// Reads one nested object; an absent one gives the defaults.
+static int
+read_nested (json_object *root, const Table *table, TtSettings *settings, TtError *error)
+{
+  json_object *object = NULL;
+  bool present = json_object_object_get_ex (root, table->name, &object);
+  int code;
+
+  if (!present && table->fields == curve_fields)
+    return TT_OK;
+  if (!present)
+    object = json_object_new_object ();
+  code = tt_json_read_fields (object, table->name, table->fields, table->count, settings, error);
+  if (code == TT_OK && table->fields == curve_fields)
+    code = read_curve (object, &settings->curve, error);
+  if (!present)
+    json_object_put (object);
+  return code;
+}
+
+int
+tt_settings_parse (const char *text, size_t size, const char *name, TtSettings *settings,
+                   TtError *error)
+{
+  json_object *root;
+  int code;
+
+  memset (settings, 0, sizeof *settings);
+  if (size > TT_SETTINGS_MAX_BYTES)
+    return tt_error_set (error, TT_E_LIMIT, TT_STEP_SETTINGS, name, "expected at most %d bytes",
+                         TT_SETTINGS_MAX_BYTES);
+  root = tt_json_parse (text, size, name, TT_STEP_SETTINGS, error);
+  if (root == NULL)
+    return error->code;
+  (void) tt_error_set (error, TT_OK, TT_STEP_SETTINGS, name, "%s", "");
+  code = tt_json_read_fields (root, "", top_fields, COUNT (top_fields), settings, error);
+  for (size_t i = 1; i < COUNT (tables) && code == TT_OK; i++)
+    code = read_nested (root, &tables[i], settings, error);
+  if (code == TT_OK)
+    code = check_settings (settings, error);
+  json_object_put (root);
+  return code;
+}
+
+int
+tt_settings_load (const char *path, TtSettings *settings, TtError *error)
+{
+  FILE *file = fopen (path, "rbe");
+  char *text = malloc (TT_SETTINGS_MAX_BYTES + 1);
+  size_t size;
+  int code;
+
+  if (file == NULL || text == NULL)
+    {
+      code = tt_error_set (error, file == NULL ? TT_E_NOT_FOUND : TT_E_NO_MEMORY, TT_STEP_SETTINGS,
+                           path, "cannot open the file: %s", strerror (errno));
+      if (file != NULL)
+        (void) fclose (file);
+      free (text);
+      return code;
+    }
+  size = fread (text, 1, TT_SETTINGS_MAX_BYTES + 1, file);
+  if (ferror (file) != 0)
+    code = tt_error_set (error, TT_E_NOT_FOUND, TT_STEP_SETTINGS, path, "cannot read the file");
+  else
+    code = tt_settings_parse (text, size, path, settings, error);
+  (void) fclose (file);
+  free (text);
+  return code;
+}
--- /dev/null
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -0,0 +1,54 @@
+/// Settings of one daemon, from its settings file.
+#pragma once
+
+#include "tarragontrack/board/limits_defs.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  TT_FILE_PATH_MAX = 256, ///< bytes of a file's path with the final NUL
+  TT_URL_MAX = 64,        ///< bytes of the platform's base URL with the final NUL
+  TT_CURVE_KEYS_MAX = 8,  ///< keys accepted at once: old and new ones while keys rotate
+  TT_SETTINGS_MAX_BYTES = 65536
+};
+
+typedef struct
+{
+  char address[TT_ADDRESS_MAX]; ///< IP number
+  uint16_t port;
+} TtEndpoint;
+
+/// CURVE keys in Z85. Daemons whose public keys are accepted here may connect; when connecting,
+/// each accepted key is tried as the other side's key.
+typedef struct
+{
+  bool enabled; ///< false: connections between daemons are not encrypted
+  char secret_key[TT_CURVE_KEY_SIZE];
+  char public_key[TT_CURVE_KEY_SIZE];
+  char accepted_keys[TT_CURVE_KEYS_MAX][TT_CURVE_KEY_SIZE];
+  uint32_t accepted_count;
+} TtCurveKeys;
+
+typedef struct
+{
+  char fleet[TT_NAME_MAX];
+  char name[TT_NAME_MAX];   ///< unique in the fleet
+  char domain[TT_NAME_MAX]; ///< failure domain
+  char region[TT_NAME_MAX];
+  TtEndpoint caller;
+  char certificate_file[TT_FILE_PATH_MAX]; ///< empty: callers use plain HTTP
+  char key_file[TT_FILE_PATH_MAX];
+  TtEndpoint operators;
+  TtEndpoint peer;
+  char platform_url[TT_URL_MAX];
+  TtCurveKeys curve;
+  uint32_t max_requests;
+  uint32_t max_attempts;
+  uint32_t max_accounts;
+  uint32_t max_body_bytes;
+  uint32_t max_header_bytes;
+  uint32_t read_timeout_ms;   ///< longest wait for the rest of a caller's request
+  uint32_t drain_announce_ms; ///< time between readiness false and refusal
+  uint32_t drain_limit_ms;    ///< 0 = wait for the last request without limit
+} TtSettings;
--- /dev/null
+++ b/test/codec/settings_test.c
@@ -0,0 +1,118 @@
+#include "support/unit.h"
+#include "tarragontrack/codec/settings.h"
+#include <stdio.h>
+#include <string.h>
+
+#define KEY "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7"
+#define TOP "{\"fleet\": \"f\", \"name\": \"d1\", \"domain\": \"x\", \"region\": \"r\", // names\n"
+#define CALLER "\"caller\": {\"address\": \"0.0.0.0\", \"port\": 8080},\n"
+#define OPERATOR "\"operator\": {\"address\": \"::1\", \"port\": 9090},\n"
+#define PEER "\"peer\": {\"address\": \"127.0.0.1\", \"port\": 7001},\n"
+#define PLATFORM "\"platform\": {\"url\": \"http://127.0.0.1:8500\"}\n"
+#define CURVE                                                                                      \
+  ", \"curve\": {\"secret_key\": \"" KEY "\", \"public_key\": \"" KEY                              \
+  "\", \"accepted_keys\": [\"" KEY "\"]}"
+
+/// Guards against lost values and missing defaults.
+static void
+good_settings (void)
+{
+  static const char text[] = TOP CALLER OPERATOR PEER PLATFORM CURVE
+      ", /* note */ \"limits\": {\"max_requests\": 10}}\n// end\n";
+  TtSettings settings;
+  TtError error;
+
+  CU_ASSERT_EQUAL (tt_settings_parse (text, strlen (text), "d.json", &settings, &error), TT_OK);
+  CU_ASSERT_STRING_EQUAL (settings.domain, "x");
+  CU_ASSERT_EQUAL (settings.caller.port, 8080);
+  CU_ASSERT_STRING_EQUAL (settings.operators.address, "::1");
+  CU_ASSERT_STRING_EQUAL (settings.platform_url, "http://127.0.0.1:8500");
+  CU_ASSERT_EQUAL (settings.max_requests, 10);
+  CU_ASSERT_EQUAL (settings.max_header_bytes, 16384);
+  CU_ASSERT_EQUAL (settings.drain_announce_ms, 5000);
+  CU_ASSERT (settings.curve.enabled && settings.curve.accepted_count == 1);
+  CU_ASSERT_STRING_EQUAL (settings.curve.accepted_keys[0], KEY);
+}
+
+/// Guards against errors that do not name the file, the line or key, and what was expected.
+static void
+wrong_settings (void)
+{
+  static const struct
+  {
+    const char *text;
+    int code;
+    const char *detail;
+  } cases[] = {
+    { TOP CALLER, TT_E_MALFORMED, "line 3: expected more text" },
+    { TOP "\"caller\": }", TT_E_MALFORMED, "line 2: " },
+    { TOP CALLER OPERATOR PLATFORM "}", TT_E_INVALID, "peer: expected a value" },
+    { TOP CALLER OPERATOR PEER PLATFORM ", \"limit\": {}}", TT_E_INVALID, "limit: expected no" },
+    { TOP CALLER OPERATOR PEER PLATFORM ", \"limits\": {\"max_requests\": 0}}", TT_E_INVALID,
+      "limits.max_requests: expected a whole number from 1" },
+    { TOP CALLER OPERATOR PEER PLATFORM ", \"drain\": {\"limit_ms\": \"5\"}}", TT_E_INVALID,
+      "drain.limit_ms: expected a whole number" },
+    { TOP "\"caller\": {\"address\": \"localhost\", \"port\": 1}," OPERATOR PEER PLATFORM "}",
+      TT_E_INVALID, "caller.address: expected an IP number" },
+    { TOP CALLER OPERATOR "\"peer\": {\"address\": \"0.0.0.0\", \"port\": 1}," PLATFORM "}",
+      TT_E_INVALID, "peer.address: expected an IP number that" },
+    { TOP CALLER OPERATOR PEER "\"platform\": {\"url\": \"http://127.0.0.1:80/x\"}}", TT_E_INVALID,
+      "platform.url: expected http://IP:PORT" },
+    { TOP CALLER OPERATOR PEER "\"platform\": {\"url\": \"http://platform:80\"}}", TT_E_INVALID,
+      "platform.url" },
+    { TOP
+      "\"caller\": {\"address\": \"::\", \"port\": 1, \"key_file\": \"k\"}," OPERATOR PEER PLATFORM
+      "}",
+      TT_E_INVALID, "caller: expected certificate_file and key_file" },
+    { TOP CALLER OPERATOR PEER PLATFORM
+      ", \"curve\": {\"secret_key\": \"x\", \"public_key\": \"" KEY "\", \"accepted_keys\": []}}",
+      TT_E_INVALID, "curve.secret_key: expected 40 Z85 digits" },
+    { TOP CALLER OPERATOR PEER PLATFORM ", \"curve\": {\"secret_key\": \"" KEY
+                                        "\", \"public_key\": \"" KEY "\", \"accepted_keys\": []}}",
+      TT_E_INVALID, "curve.accepted_keys: expected an array of 1 to 8" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      TtSettings settings;
+      TtError error;
+
+      CU_ASSERT_EQUAL (
+          tt_settings_parse (cases[i].text, strlen (cases[i].text), "d.json", &settings, &error),
+          cases[i].code);
+      CU_ASSERT_STRING_EQUAL (error.peer, "d.json");
+      CU_ASSERT_EQUAL (error.step, TT_STEP_SETTINGS);
+      CU_ASSERT_PTR_NOT_NULL (strstr (error.detail, cases[i].detail));
+      if (strstr (error.detail, cases[i].detail) == NULL)
+        printf ("[case %zu: %s] ", i, error.detail);
+    }
+}
+
+/// Guards against a missing file without its name in the error, and keys missing in the tables.
+static void
+files_and_tables (void)
+{
+  TtSettings settings;
+  TtError error;
+  const char *name;
+  size_t count;
+  unsigned tables = 0;
+  size_t keys = 0;
+
+  CU_ASSERT_EQUAL (tt_settings_load ("/nonexistent/d.json", &settings, &error), TT_E_NOT_FOUND);
+  CU_ASSERT_STRING_EQUAL (error.peer, "/nonexistent/d.json");
+  while (tt_settings_fields (tables, &name, &count) != NULL)
+    {
+      tables++;
+      keys += count;
+    }
+  CU_ASSERT (tables == 8 && keys == 31);
+}
+
+static const UnitTest tests[] = {
+  { "good_settings", good_settings },
+  { "wrong_settings", wrong_settings },
+  { "files_and_tables", files_and_tables },
+};
+
+UNIT_MAIN ("settings", tests)
