--- a/src/tarragonctl/apply.c
+++ b/src/tarragonctl/apply.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define HEAD_TRIES 8 ///< conditional updates of the head that other teams' changes may defeat
-#define POLL_US (200 * 1000)
+#define POLL_US 200000UL
 
 /// A change on its way.
 typedef struct
--- a/src/tarragonctl/ctl.c
+++ b/src/tarragonctl/ctl.c
@@ -9,7 +9,7 @@
 
 #define CONNECT_TIMEOUT_MS 1000
 #define TOTAL_TIMEOUT_MS 10000
-#define MAX_ANSWER_BYTES (16U * 1024 * 1024)
+#define MAX_ANSWER_BYTES 16777216UL
 
 struct CtlSession
 {
--- a/src/tarragonctl/fetch.c
+++ b/src/tarragonctl/fetch.c
@@ -50,7 +50,7 @@
     code = ctl_head_document (session, team, &text, &author);
   if (code < 0)
     result = ctl_fail (options->platform, code);
-  else if (team == NULL)
+  else if (team == NULL || text == NULL)
     {
       (void) fprintf (stderr, "tarragonctl: team %s has no document\n", arguments[0]);
       result = CTL_EXIT_REFUSED;
--- a/src/tarragonctl/status.c
+++ b/src/tarragonctl/status.c
@@ -2,7 +2,7 @@
 #include "view.h"
 #include <stdio.h>
 
-#define REFRESH_US (2 * G_USEC_PER_SEC)
+#define REFRESH_US 2000000UL
 #define CLEAR_SCREEN "\033[H\033[2J"
 
 /// All tables fit 80 columns; longer names are cut.
