--- a/src/tarragontrack/board/claim_defs.h
+++ b/src/tarragontrack/board/claim_defs.h
@@ -54,6 +54,7 @@
   TtClaimStep step;
   TtId128 attempt;
   bool unsettled;           ///< a write of the claim had no answer; its effect is unknown
+  bool sent;                ///< set by `retry`: bytes of the request may have left
   uint32_t unsent_failures; ///< attempts that failed before a byte was sent
   TtClaimState final_state; ///< SETTLING: DONE or NOT_RUN
   uint16_t status;          ///< of the answer to record
