feat(io): peer socket over ZeroMQ with CURVE

Cause: daemons exchange messages that may be lost but must be authenticated and never late.

Change: one bound PULL socket and one PUSH socket per daemon, at most 64. ZMQ_FD of each is watched with uv_poll_t and drained on each edge. ZeroMQ queues nothing for a socket without connection; the link holds up to 128 messages for 1 s, then drops and counts them. Heartbeats close silent connections. A handler of ZeroMQ's authentication protocol accepts the listed keys; a link tries the accepted keys in turn, so that keys rotate without a restart.

--- /dev/null
+++ b/src/tarragontrack/io/peer_link.c
@@ -0,0 +1,275 @@
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/io/peer_socket_defs.h"
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+enum
+{
+  RECONNECT_MS = 100,
+  RECONNECT_MAX_MS = 2000,
+  CONNECT_TIMEOUT_MS = 2000,
+  MONITOR_ADDRESS_MAX = 48,
+  HANDSHAKE_EVENTS = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL
+                     | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH
+};
+
+struct TtPeerLink
+{
+  TtLink link; ///< on TtPeerSocket.links
+  TtPeerSocket *owner;
+  char endpoint[TT_ENDPOINT_MAX];
+  void *push;
+  void *monitor; ///< PAIR, reports failed handshakes
+  TtPeerWatch *watch;
+  uint32_t key_index; ///< accepted key that is tried as the other side's key
+  uint64_t used_ms;
+  TtList held; ///< HeldMessage.link, oldest first
+};
+
+/// A message that waits for a connection. ZeroMQ's own queue of a socket without connection has no
+/// limit of time: it would deliver loans and gossip long after they were written.
+typedef struct
+{
+  TtLink link;
+  uint64_t since_ms;
+  size_t size;
+  char *data;
+} HeldMessage;
+
+static void
+free_held (HeldMessage *held)
+{
+  free (held->data);
+  free (held);
+}
+
+/// Gives bytes to ZeroMQ; false if its queue is full or there is no connection.
+static bool
+push_bytes (TtPeerLink *link, const char *data, size_t size)
+{
+  if (link->push == NULL || zmq_send (link->push, data, size, ZMQ_DONTWAIT) < 0)
+    return false;
+  link->owner->stats.sent++;
+  link->owner->stats.sent_bytes += size;
+  return true;
+}
+
+/// Sends held messages in their order and drops those that waited too long.
+static void
+flush_held (void *context)
+{
+  TtPeerLink *link = context;
+  TtLink *first;
+  int events = 0;
+  size_t size = sizeof events;
+
+  // Reading ZMQ_EVENTS also takes in ZeroMQ's notices, which rearms ZMQ_FD.
+  if (link->push != NULL)
+    (void) zmq_getsockopt (link->push, ZMQ_EVENTS, &events, &size);
+  while ((first = tt_list_first (&link->held)) != NULL)
+    {
+      HeldMessage *held = TT_CONTAINER_OF (first, HeldMessage, link);
+      bool late = uv_now (link->owner->loop) - held->since_ms > TT_PEER_HELD_MS;
+
+      if (!late && !push_bytes (link, held->data, held->size))
+        return;
+      link->owner->stats.dropped += late ? 1 : 0;
+      tt_list_remove (&link->held, first);
+      free_held (held);
+    }
+}
+
+static void
+close_sockets (TtPeerLink *link, int linger_ms)
+{
+  tt_peer_watch_free (link->watch);
+  link->watch = NULL;
+  if (link->push != NULL)
+    {
+      (void) zmq_socket_monitor (link->push, NULL, 0);
+      tt_peer_set_option (link->push, ZMQ_LINGER, linger_ms);
+      (void) zmq_close (link->push);
+    }
+  if (link->monitor != NULL)
+    (void) zmq_close (link->monitor);
+  link->push = NULL;
+  link->monitor = NULL;
+}
+
+/// Sets keys: the other side must have the secret key of the accepted key that is tried.
+static void
+set_keys (TtPeerLink *link)
+{
+  const TtCurveKeys *keys = &link->owner->keys;
+
+  if (!keys->enabled)
+    return;
+  (void) zmq_setsockopt (link->push, ZMQ_CURVE_SERVERKEY, keys->accepted_keys[link->key_index],
+                         TT_CURVE_KEY_SIZE);
+  (void) zmq_setsockopt (link->push, ZMQ_CURVE_PUBLICKEY, keys->public_key, TT_CURVE_KEY_SIZE);
+  (void) zmq_setsockopt (link->push, ZMQ_CURVE_SECRETKEY, keys->secret_key, TT_CURVE_KEY_SIZE);
+}
+
+static void
+open_monitor (TtPeerLink *link)
+{
+  char address[MONITOR_ADDRESS_MAX];
+
+  (void) snprintf (address, sizeof address, "inproc://monitor-%llu",
+                   (unsigned long long) ++link->owner->monitors);
+  link->monitor = zmq_socket (link->owner->zmq, ZMQ_PAIR);
+  if (link->monitor == NULL)
+    return;
+  tt_peer_set_option (link->monitor, ZMQ_LINGER, 0);
+  if (zmq_socket_monitor (link->push, address, HANDSHAKE_EVENTS) == 0)
+    (void) zmq_connect (link->monitor, address);
+}
+
+static bool
+open_sockets (TtPeerLink *link)
+{
+  link->push = zmq_socket (link->owner->zmq, ZMQ_PUSH);
+  if (link->push == NULL)
+    return false;
+  tt_peer_set_option (link->push, ZMQ_LINGER, 0);
+  tt_peer_set_option (link->push, ZMQ_SNDHWM, TT_PEER_QUEUE);
+  tt_peer_set_option (link->push, ZMQ_IMMEDIATE, 1); // a lost connection drops what it queued
+  tt_peer_set_option (link->push, ZMQ_IPV6, 1);
+  tt_peer_set_option (link->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  tt_peer_set_option (link->push, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  tt_peer_set_option (link->push, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+  // A connection may become silent for ever while new ones work.
+  tt_peer_set_option (link->push, ZMQ_HEARTBEAT_IVL, TT_PEER_HEARTBEAT_MS);
+  tt_peer_set_option (link->push, ZMQ_HEARTBEAT_TIMEOUT, TT_PEER_HEARTBEAT_MS);
+  tt_peer_set_option (link->push, ZMQ_HEARTBEAT_TTL, 2 * TT_PEER_HEARTBEAT_MS);
+  set_keys (link);
+  if (link->owner->keys.accepted_count > 1)
+    open_monitor (link);
+  link->watch = tt_peer_watch_new (link->owner, link->push, link, flush_held);
+  if (link->watch != NULL && zmq_connect (link->push, link->endpoint) == 0)
+    return true;
+  close_sockets (link, 0);
+  return false;
+}
+
+static void
+close_link (TtPeerLink *link, int linger_ms)
+{
+  TtLink *first;
+
+  close_sockets (link, linger_ms);
+  while ((first = tt_list_pop (&link->held)) != NULL)
+    {
+      link->owner->stats.dropped++;
+      free_held (TT_CONTAINER_OF (first, HeldMessage, link));
+    }
+  tt_list_remove (&link->owner->links, &link->link);
+  free (link);
+}
+
+TtPeerLink *
+tt_peer_link_find (TtPeerSocket *owner, const char *endpoint)
+{
+  TtPeerLink *link = NULL;
+
+  TT_LIST_FOREACH (&owner->links, it)
+    {
+      TtPeerLink *other = TT_CONTAINER_OF (it, TtPeerLink, link);
+
+      if (strcmp (other->endpoint, endpoint) == 0)
+        {
+          tt_list_remove (&owner->links, it);
+          link = other;
+          break;
+        }
+    }
+  if (link == NULL)
+    {
+      if (owner->links.count >= TT_PEER_LINKS)
+        close_link (TT_CONTAINER_OF (tt_list_first (&owner->links), TtPeerLink, link), 0);
+      link = calloc (1, sizeof *link);
+      if (link == NULL)
+        return NULL;
+      link->owner = owner;
+      (void) snprintf (link->endpoint, sizeof link->endpoint, "%s", endpoint);
+      tt_list_init (&link->held);
+      tt_link_init (&link->link);
+      if (!open_sockets (link))
+        {
+          free (link);
+          return NULL;
+        }
+    }
+  tt_list_append (&owner->links, &link->link);
+  link->used_ms = uv_now (owner->loop);
+  return link;
+}
+
+int
+tt_peer_link_send (TtPeerLink *link, char *data, size_t size)
+{
+  HeldMessage *held;
+
+  if (link->held.count == 0 && push_bytes (link, data, size))
+    {
+      free (data);
+      return TT_OK;
+    }
+  held = link->held.count < TT_PEER_QUEUE ? calloc (1, sizeof *held) : NULL;
+  if (held == NULL)
+    {
+      link->owner->stats.dropped++;
+      free (data);
+      return TT_E_LIMIT;
+    }
+  held->data = data;
+  held->size = size;
+  held->since_ms = uv_now (link->owner->loop);
+  tt_list_append (&link->held, &held->link);
+  flush_held (link);
+  return TT_OK;
+}
+
+/// True if a handshake failed since the last call.
+static bool
+handshake_failed (TtPeerLink *link)
+{
+  char event[64];
+  bool failed = false;
+
+  while (link->monitor != NULL && zmq_recv (link->monitor, event, sizeof event, ZMQ_DONTWAIT) >= 0)
+    failed = true; // each event has two frames; only handshake events are reported
+  return failed;
+}
+
+void
+tt_peer_links_tick (TtPeerSocket *owner)
+{
+  TT_LIST_FOREACH (&owner->links, it)
+    {
+      TtPeerLink *link = TT_CONTAINER_OF (it, TtPeerLink, link);
+
+      if (uv_now (owner->loop) - link->used_ms > TT_PEER_IDLE_MS)
+        {
+          close_link (link, 0);
+          continue;
+        }
+      if (handshake_failed (link) || link->push == NULL)
+        {
+          close_sockets (link, 0);
+          link->key_index = (link->key_index + 1) % owner->keys.accepted_count;
+          (void) open_sockets (link);
+        }
+      flush_held (link);
+    }
+}
+
+void
+tt_peer_links_close (TtPeerSocket *owner, int linger_ms)
+{
+  TT_LIST_FOREACH (&owner->links, it)
+    close_link (TT_CONTAINER_OF (it, TtPeerLink, link), linger_ms);
+}
--- /dev/null
+++ b/src/tarragontrack/io/peer_socket.c
@@ -0,0 +1,390 @@
+#include "tarragontrack/io/peer_socket.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/io/peer_socket_defs.h"
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define ZAP_ADDRESS "inproc://zeromq.zap.01"
+#define ZAP_VERSION "1.0"
+
+enum
+{
+  HANDSHAKE_MS = 2000,
+  LINGER_MS = 100, ///< at the end, for the LEAVE message
+  CURVE_KEY_BYTES = 32,
+  ZAP_FRAMES = 16, ///< frames read of one request, more are skipped
+  ZAP_FRAME_MAX = 256
+};
+
+void
+tt_peer_set_option (void *zmq_socket, int option, int value)
+{
+  (void) zmq_setsockopt (zmq_socket, option, &value, sizeof value);
+}
+
+void
+tt_peer_endpoint (char *text, const char *address, uint16_t port)
+{
+  bool six = strchr (address, ':') != NULL;
+
+  (void) snprintf (text, TT_ENDPOINT_MAX, "tcp://%s%s%s:%u", six ? "[" : "", address,
+                   six ? "]" : "", port);
+}
+
+/// Frees the socket once its last handle is closed.
+static void
+drop_handle (TtPeerSocket *owner)
+{
+  if (--owner->handles > 0)
+    return;
+  tt_peer_reader_free (owner->reader);
+  free (owner);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  drop_handle (handle->data);
+}
+
+static void
+on_watch_closed (uv_handle_t *handle)
+{
+  TtPeerWatch *watch = handle->data;
+  TtPeerSocket *owner = watch->owner;
+
+  free (watch);
+  drop_handle (owner);
+}
+
+static void
+on_watch_ready (uv_poll_t *poll, int status, int events)
+{
+  TtPeerWatch *watch = poll->data;
+
+  (void) status, (void) events;
+  watch->on_ready (watch->context);
+}
+
+TtPeerWatch *
+tt_peer_watch_new (TtPeerSocket *owner, void *zmq_socket, void *context,
+                   void (*on_ready) (void *context))
+{
+  TtPeerWatch *watch = calloc (1, sizeof *watch);
+  int fd = -1;
+  size_t size = sizeof fd;
+
+  if (watch == NULL || zmq_getsockopt (zmq_socket, ZMQ_FD, &fd, &size) != 0
+      || uv_poll_init (owner->loop, &watch->poll, fd) != 0)
+    {
+      free (watch);
+      return NULL;
+    }
+  watch->owner = owner;
+  watch->context = context;
+  watch->on_ready = on_ready;
+  watch->poll.data = watch;
+  owner->handles++;
+  (void) uv_poll_start (&watch->poll, UV_READABLE, on_watch_ready);
+  return watch;
+}
+
+void
+tt_peer_watch_free (TtPeerWatch *watch)
+{
+  if (watch == NULL)
+    return;
+  (void) uv_poll_stop (&watch->poll);
+  uv_close ((uv_handle_t *) &watch->poll, on_watch_closed);
+}
+
+static void
+take_message (TtPeerSocket *owner, zmq_msg_t *frame)
+{
+  const TtPeerMessage *message;
+  TtError error = { 0 };
+
+  owner->stats.received++;
+  owner->stats.received_bytes += zmq_msg_size (frame);
+  // A message has one frame; each further one is refused as a message of its own.
+  if (tt_peer_read (owner->reader, zmq_msg_data (frame), zmq_msg_size (frame), &message, &error)
+      == TT_OK)
+    {
+      owner->on_message (owner->context, message);
+      return;
+    }
+  owner->stats.refused++;
+  if (owner->on_refused != NULL)
+    owner->on_refused (owner->context, &error);
+}
+
+static void read_again (uv_timer_t *timer);
+
+/// Reads until ZeroMQ has no more messages: ZMQ_FD signals only the first of them.
+static void
+read_inbound (void *context)
+{
+  TtPeerSocket *owner = context;
+
+  for (unsigned i = 0; i < TT_PEER_BATCH; i++)
+    {
+      zmq_msg_t frame;
+      int size;
+
+      (void) zmq_msg_init (&frame);
+      size = zmq_msg_recv (&frame, owner->inbound, ZMQ_DONTWAIT);
+      if (size >= 0)
+        take_message (owner, &frame);
+      (void) zmq_msg_close (&frame);
+      if (size < 0 && errno != EINTR)
+        return;
+    }
+  (void) uv_timer_start (&owner->again, read_again, 0, 0);
+}
+
+static void
+read_again (uv_timer_t *timer)
+{
+  TtPeerSocket *owner = timer->data;
+
+  if (owner->inbound != NULL)
+    read_inbound (owner);
+}
+
+/// True if the key of a connecting daemon is accepted.
+static bool
+is_accepted (const TtPeerSocket *owner, const uint8_t *key)
+{
+  char text[TT_CURVE_KEY_SIZE];
+
+  if (!owner->keys.enabled || zmq_z85_encode (text, key, CURVE_KEY_BYTES) == NULL)
+    return false;
+  for (uint32_t i = 0; i < owner->keys.accepted_count; i++)
+    if (strcmp (text, owner->keys.accepted_keys[i]) == 0)
+      return true;
+  return false;
+}
+
+/// Answers one request of ZeroMQ's authentication protocol (RFC 27). False if there is none.
+static bool
+answer_zap (TtPeerSocket *owner)
+{
+  uint8_t frames[ZAP_FRAMES][ZAP_FRAME_MAX];
+  int sizes[ZAP_FRAMES];
+  unsigned count = 0;
+  int more = 1;
+  bool accepted;
+
+  while (more != 0)
+    {
+      size_t size = sizeof more;
+      unsigned at = count < ZAP_FRAMES - 1 ? count : ZAP_FRAMES - 1;
+
+      sizes[at] = zmq_recv (owner->zap, frames[at], ZAP_FRAME_MAX, ZMQ_DONTWAIT);
+      if (sizes[at] < 0)
+        return false;
+      count++;
+      (void) zmq_getsockopt (owner->zap, ZMQ_RCVMORE, &more, &size);
+    }
+  accepted = count == 7 && sizes[1] <= ZAP_FRAME_MAX && sizes[5] == 5
+             && memcmp (frames[5], "CURVE", 5) == 0 && sizes[6] == CURVE_KEY_BYTES
+             && is_accepted (owner, frames[6]);
+  (void) zmq_send (owner->zap, ZAP_VERSION, strlen (ZAP_VERSION), ZMQ_SNDMORE | ZMQ_DONTWAIT);
+  (void) zmq_send (owner->zap, frames[1], count > 1 ? (size_t) sizes[1] : 0,
+                   ZMQ_SNDMORE | ZMQ_DONTWAIT);
+  (void) zmq_send (owner->zap, accepted ? "200" : "400", 3, ZMQ_SNDMORE | ZMQ_DONTWAIT);
+  (void) zmq_send (owner->zap, "", 0, ZMQ_SNDMORE | ZMQ_DONTWAIT);
+  (void) zmq_send (owner->zap, "", 0, ZMQ_SNDMORE | ZMQ_DONTWAIT);
+  (void) zmq_send (owner->zap, "", 0, ZMQ_DONTWAIT);
+  return true;
+}
+
+static void
+read_zap (void *context)
+{
+  TtPeerSocket *owner = context;
+
+  while (owner->zap != NULL && answer_zap (owner))
+    ;
+}
+
+static void
+close_inbound (TtPeerSocket *owner)
+{
+  int reason = errno;
+
+  tt_peer_watch_free (owner->inbound_watch);
+  owner->inbound_watch = NULL;
+  if (owner->inbound != NULL)
+    (void) zmq_close (owner->inbound);
+  owner->inbound = NULL;
+  owner->bound = false;
+  errno = reason; // why binding failed, for the error
+}
+
+/// Opens the listening socket; its port may be in use for a moment after the old one was closed.
+static bool
+open_inbound (TtPeerSocket *owner)
+{
+  owner->inbound = zmq_socket (owner->zmq, ZMQ_PULL);
+  if (owner->inbound == NULL)
+    return false;
+  tt_peer_set_option (owner->inbound, ZMQ_LINGER, 0);
+  tt_peer_set_option (owner->inbound, ZMQ_RCVHWM, TT_PEER_QUEUE);
+  tt_peer_set_option (owner->inbound, ZMQ_IPV6, 1);
+  tt_peer_set_option (owner->inbound, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+  (void) zmq_setsockopt (owner->inbound, ZMQ_MAXMSGSIZE, &(int64_t){ TT_PEER_MESSAGE_MAX },
+                         sizeof (int64_t));
+  if (owner->keys.enabled)
+    {
+      tt_peer_set_option (owner->inbound, ZMQ_CURVE_SERVER, 1);
+      (void) zmq_setsockopt (owner->inbound, ZMQ_CURVE_SECRETKEY, owner->keys.secret_key,
+                             TT_CURVE_KEY_SIZE);
+      (void) zmq_setsockopt (owner->inbound, ZMQ_ZAP_DOMAIN, owner->fleet, strlen (owner->fleet));
+    }
+  owner->inbound_watch = tt_peer_watch_new (owner, owner->inbound, owner, read_inbound);
+  owner->bound = owner->inbound_watch != NULL && zmq_bind (owner->inbound, owner->endpoint) == 0;
+  if (!owner->bound)
+    close_inbound (owner);
+  return owner->bound;
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  TtPeerSocket *owner = timer->data;
+
+  if (!owner->bound)
+    (void) open_inbound (owner);
+  tt_peer_links_tick (owner);
+}
+
+/// Copies keys; an empty record stands for no encryption. False if they do not belong together.
+static bool
+copy_keys (TtCurveKeys *target, const TtCurveKeys *keys)
+{
+  char public_key[TT_CURVE_KEY_SIZE];
+
+  memset (target, 0, sizeof *target);
+  target->accepted_count = 1; // one way to connect
+  if (keys == NULL || !keys->enabled)
+    return true;
+  if (keys->accepted_count < 1 || keys->accepted_count > TT_CURVE_KEYS_MAX
+      || zmq_curve_public (public_key, keys->secret_key) != 0
+      || strcmp (public_key, keys->public_key) != 0)
+    return false;
+  *target = *keys;
+  return true;
+}
+
+static bool
+open_zap (TtPeerSocket *owner)
+{
+  owner->zap = zmq_socket (owner->zmq, ZMQ_REP);
+  if (owner->zap == NULL)
+    return false;
+  tt_peer_set_option (owner->zap, ZMQ_LINGER, 0);
+  owner->zap_watch = tt_peer_watch_new (owner, owner->zap, owner, read_zap);
+  return owner->zap_watch != NULL && zmq_bind (owner->zap, ZAP_ADDRESS) == 0;
+}
+
+int
+tt_peer_socket_new (const TtPeerSocketOptions *options, TtPeerSocket **peer_socket, TtError *error)
+{
+  TtPeerSocket *owner = calloc (1, sizeof *owner);
+  int code = TT_E_NO_MEMORY;
+
+  *peer_socket = NULL;
+  if (owner == NULL)
+    return tt_error_set (error, code, TT_STEP_LISTEN, options->address, "peer socket");
+  owner->loop = options->loop;
+  owner->context = options->context;
+  owner->on_message = options->on_message;
+  owner->on_refused = options->on_refused;
+  (void) snprintf (owner->fleet, sizeof owner->fleet, "%s", options->fleet);
+  tt_peer_endpoint (owner->endpoint, options->address, options->port);
+  tt_list_init (&owner->links);
+  (void) uv_timer_init (owner->loop, &owner->tick);
+  (void) uv_timer_init (owner->loop, &owner->again);
+  owner->tick.data = owner;
+  owner->again.data = owner;
+  owner->handles = 2;
+  owner->reader = tt_peer_reader_new (options->fleet);
+  owner->zmq = zmq_ctx_new ();
+  if (!copy_keys (&owner->keys, options->keys))
+    code = tt_error_set (error, TT_E_INVALID, TT_STEP_LISTEN, owner->endpoint,
+                         "expected a secret key and its public key");
+  else if (owner->reader == NULL || owner->zmq == NULL || !open_zap (owner))
+    code = tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_LISTEN, owner->endpoint, "peer socket");
+  else if (!open_inbound (owner))
+    code = tt_error_set (error, TT_E_UNAVAILABLE, TT_STEP_LISTEN, owner->endpoint, "%s",
+                         zmq_strerror (errno));
+  else
+    {
+      (void) uv_timer_start (&owner->tick, on_tick, TT_PEER_TICK_MS, TT_PEER_TICK_MS);
+      *peer_socket = owner;
+      return TT_OK;
+    }
+  tt_peer_socket_free (owner);
+  return code;
+}
+
+int
+tt_peer_socket_send (TtPeerSocket *peer_socket, const char *address, uint16_t port,
+                     const TtPeerMessage *message)
+{
+  char endpoint[TT_ENDPOINT_MAX];
+  TtPeerLink *link;
+  char *data;
+  size_t size;
+  int code = tt_peer_write (message, peer_socket->fleet, &data, &size);
+
+  if (code != TT_OK)
+    return code;
+  tt_peer_endpoint (endpoint, address, port);
+  link = tt_peer_link_find (peer_socket, endpoint);
+  if (link != NULL)
+    return tt_peer_link_send (link, data, size);
+  peer_socket->stats.dropped++;
+  free (data);
+  return TT_E_NO_MEMORY;
+}
+
+int
+tt_peer_socket_set_keys (TtPeerSocket *peer_socket, const TtCurveKeys *keys)
+{
+  TtCurveKeys copy;
+
+  if (!copy_keys (&copy, keys))
+    return TT_E_INVALID;
+  peer_socket->keys = copy;
+  tt_peer_links_close (peer_socket, 0);
+  close_inbound (peer_socket);
+  (void) open_inbound (peer_socket); // else the tick tries again
+  return TT_OK;
+}
+
+const TtPeerSocketStats *
+tt_peer_socket_stats (const TtPeerSocket *peer_socket)
+{
+  return &peer_socket->stats;
+}
+
+void
+tt_peer_socket_free (TtPeerSocket *peer_socket)
+{
+  if (peer_socket == NULL)
+    return;
+  tt_peer_links_close (peer_socket, LINGER_MS);
+  close_inbound (peer_socket);
+  tt_peer_watch_free (peer_socket->zap_watch);
+  if (peer_socket->zap != NULL)
+    (void) zmq_close (peer_socket->zap);
+  if (peer_socket->zmq != NULL)
+    (void) zmq_ctx_term (peer_socket->zmq);
+  uv_close ((uv_handle_t *) &peer_socket->tick, on_timer_closed);
+  uv_close ((uv_handle_t *) &peer_socket->again, on_timer_closed);
+}
--- /dev/null
+++ b/src/tarragontrack/io/peer_socket_defs.h
@@ -0,0 +1,71 @@
+/// Parts of the peer socket shared by peer_socket.c (listening) and peer_link.c (sending).
+#pragma once
+
+#include "tarragontrack/board/list.h"
+#include "tarragontrack/codec/peer.h"
+#include "tarragontrack/io/peer_socket.h"
+
+enum
+{
+  TT_ENDPOINT_MAX = TT_ADDRESS_MAX + 24 ///< bytes of tcp://[IP]:PORT with the final NUL
+};
+
+typedef struct TtPeerLink TtPeerLink;
+
+/// Watches the ZMQ_FD of one ZeroMQ socket; freed when its handle is closed.
+typedef struct
+{
+  uv_poll_t poll;
+  TtPeerSocket *owner;
+  void *context;
+  void (*on_ready) (void *context);
+} TtPeerWatch;
+
+struct TtPeerSocket
+{
+  uv_loop_t *loop;
+  void *context;
+  void (*on_message) (void *context, const TtPeerMessage *message);
+  void (*on_refused) (void *context, const TtError *error);
+  char fleet[TT_NAME_MAX];
+  char endpoint[TT_ENDPOINT_MAX];
+  TtCurveKeys keys;
+  void *zmq;
+  void *inbound; ///< PULL
+  void *zap;     ///< REP, decides which keys may connect
+  bool bound;
+  TtPeerWatch *inbound_watch;
+  TtPeerWatch *zap_watch;
+  uv_timer_t tick;
+  uv_timer_t again; ///< continues reading after a full batch
+  unsigned handles; ///< uv handles that are not closed yet
+  TtPeerReader *reader;
+  TtList links;      ///< TtPeerLink.link, the one unused longest first
+  uint64_t monitors; ///< numbers the monitors' addresses
+  TtPeerSocketStats stats;
+};
+
+/// Writes tcp://IP:PORT, with brackets around an IPv6 number.
+void tt_peer_endpoint (char *text, const char *address, uint16_t port);
+
+/// Watches a socket's ZMQ_FD; NULL if memory could not be allocated.
+TtPeerWatch *tt_peer_watch_new (TtPeerSocket *owner, void *zmq_socket, void *context,
+                                void (*on_ready) (void *context));
+
+/// Stops watching. Must be called before the ZeroMQ socket is closed. @watch may be NULL.
+void tt_peer_watch_free (TtPeerWatch *watch);
+
+/// Sets an integer option of a ZeroMQ socket.
+void tt_peer_set_option (void *zmq_socket, int option, int value);
+
+/// The link to an endpoint, opened if there is none; NULL if memory could not be allocated.
+TtPeerLink *tt_peer_link_find (TtPeerSocket *owner, const char *endpoint);
+
+/// Sends the bytes, holds them for a while, or drops them. Takes @data, which free() can free.
+int tt_peer_link_send (TtPeerLink *link, char *data, size_t size);
+
+/// Periodic work: next key after a failed handshake, old held messages, unused links.
+void tt_peer_links_tick (TtPeerSocket *owner);
+
+/// Closes all links. @linger_ms: how long ZeroMQ may go on sending what is queued.
+void tt_peer_links_close (TtPeerSocket *owner, int linger_ms);
