feat(standin): the platform as a stand-in process

Cause: tests and the demo need a platform with versions, watches, lag, outages and lost answers.

Change: standin_platform serves objects with conditional update and watch, a list by prefix, and the host list with a lag for each failure domain. POST /control/faults switches outages, lost answers after the write took effect, slow answers and the rate limit, which counts each call once. Objects can be saved and restored. It listens on 127.0.0.1, is driven by a seed and ends by itself. The platform client names its failure domain when it reads the host list.

--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -22,6 +22,7 @@
   TtList open;   ///< PlatformCall.link
   TtList failed; ///< PlatformCall.link, the event is due
   char base[BASE_MAX];
+  char domain[TT_NAME_MAX];
 };
 
 typedef struct
@@ -228,7 +229,13 @@
   (void) snprintf (url, size, "%s%s", call->client->base,
                    call->op == TT_PLATFORM_HOSTS ? "/hosts" : "/objects/");
   if (call->op == TT_PLATFORM_HOSTS)
-    return;
+    {
+      if (call->client->domain[0] == '\0')
+        return;
+      (void) snprintf (url + strlen (url), size - strlen (url), "?domain=");
+      append_key (url, size, call->client->domain);
+      return;
+    }
   append_key (url, size, call->key);
   if (call->op == TT_PLATFORM_WATCH)
     {
@@ -286,6 +293,8 @@
   tt_list_init (&client->open);
   tt_list_init (&client->failed);
   (void) snprintf (client->base, sizeof client->base, "%s", options->url);
+  (void) snprintf (client->domain, sizeof client->domain, "%s",
+                   options->domain != NULL ? options->domain : "");
   (void) uv_timer_init (loop, &client->timer);
   client->timer.data = client;
   return client;
--- /dev/null
+++ b/test/standin/common/platform_store.h
@@ -0,0 +1,69 @@
+/// State of the platform stand-in: versioned objects, a snapshot of them, and the host list.
+#pragma once
+
+#include "tarragontrack/board/limits_defs.h"
+#include "tarragontrack/board/list.h"
+
+enum
+{
+  PLATFORM_HOST_VERSIONS = 64 ///< host lists kept for lagging readers
+};
+
+typedef struct
+{
+  TtLink link; ///< on PlatformStore.objects or PlatformStore.snapshot
+  char key[TT_KEY_MAX];
+  uint64_t version;
+  char *text;
+  size_t size;
+} PlatformObject;
+
+/// Host list as one failure domain's readers see it.
+typedef struct
+{
+  TtLink link; ///< on PlatformStore.lags
+  char domain[TT_NAME_MAX];
+  uint64_t lag_ms;
+} PlatformLag;
+
+typedef struct
+{
+  uint64_t version; ///< 0 = unused
+  uint64_t set_ms;
+  char *text;
+} PlatformHosts;
+
+typedef struct
+{
+  TtList objects;
+  TtList snapshot;
+  TtList lags;
+  PlatformHosts hosts[PLATFORM_HOST_VERSIONS]; ///< by version modulo the length
+  uint64_t hosts_version;
+} PlatformStore;
+
+void platform_store_init (PlatformStore *store);
+
+/// The object under a key, or NULL.
+PlatformObject *platform_store_find (PlatformStore *store, const char *key);
+
+/// Writes an object if its version is @expected (0 = absent). RETURN its new version, 0 on
+/// conflict.
+uint64_t platform_store_put (PlatformStore *store, const char *key, uint64_t expected,
+                             const char *text, size_t size);
+
+/// Copies all objects aside.
+void platform_store_save (PlatformStore *store);
+
+/// Puts the copied objects back, as an operator does who restores a backup.
+void platform_store_restore (PlatformStore *store);
+
+/// Sets the host list as of @now_ms.
+void platform_store_set_hosts (PlatformStore *store, const char *text, uint64_t now_ms);
+
+/// Sets how late readers of a failure domain see the host list; "" is for those without one.
+void platform_store_set_lag (PlatformStore *store, const char *domain, uint64_t lag_ms);
+
+/// Host list as the readers of a domain see it; NULL if they see none.
+const PlatformHosts *platform_store_hosts (const PlatformStore *store, const char *domain,
+                                           uint64_t now_ms);
--- /dev/null
+++ b/test/standin/platform.c
@@ -0,0 +1,484 @@
+/// Stand-in for the platform: versioned objects, watches and the host list over HTTP on 127.0.0.1.
+///
+/// GET, PUT /objects/KEY, GET /list?prefix=P, GET /hosts[?domain=D]; see io/platform_client.h.
+/// POST /control/faults takes any of the keys
+///   outage       "none", "error" (503, no effect), "close" (no effect), "silent" (no effect)
+///   lose_writes  the next N PUTs take effect and the connection is closed without an answer
+///   lose_part    the part of PUTs, 0 to 1, whose answer is lost in the same way
+///   slow_ms      answers come N/2 to 3N/2 ms late; writes take effect at once
+///   rate         calls a second, a watch counted once; more are answered 429. 0 = no limit
+///   write_rate   the same for PUT alone
+/// POST /control/hosts sets the host list, POST /control/lag {"domain": D, "lag_ms": N} its delay
+/// for the readers of a failure domain, POST /control/save and /control/restore copy the objects
+/// aside and back, GET /control/stats answers counters.
+#include "common/platform_answer.h"
+#include "common/platform_query.h"
+#include <h2o/http1.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MAX_OBJECT_BYTES = 1000000,
+  MAX_WAIT_MS = 30000,
+  DEFAULT_WAIT_MS = 10000,
+  TICK_MS = 5,
+  DEFAULT_RATE = 2000,      ///< calls a second that the platform sustains
+  DEFAULT_WRITE_RATE = 400, ///< writes a second
+  BACKLOG = 512
+};
+
+typedef enum
+{
+  OUTAGE_NONE,
+  OUTAGE_ERROR,
+  OUTAGE_CLOSE,
+  OUTAGE_SILENT
+} Outage;
+
+/// Tokens of a rate limit; at most one second's worth is saved up.
+typedef struct
+{
+  double rate; ///< a second; 0 = no limit
+  double tokens;
+  uint64_t filled_ms;
+} Bucket;
+
+typedef struct
+{
+  uint64_t calls;
+  uint64_t writes;
+  uint64_t conflicts;
+  uint64_t limited;
+  uint64_t lost;
+} Stats;
+
+typedef struct
+{
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  uv_tcp_t listener;
+  uv_timer_t tick;
+  PlatformStore store;
+  PlatformAnswers answers;
+  Outage outage;
+  long lose_writes;
+  double lose_part;
+  Bucket reads; ///< all calls
+  Bucket writes;
+  Stats stats;
+} Platform;
+
+static Platform platform;
+
+static uint64_t
+now_ms (void)
+{
+  return uv_now (platform.answers.loop);
+}
+
+static void
+answer_json (h2o_req_t *request, json_object *object)
+{
+  const char *text = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
+
+  platform_answer_now (request, 200, 0, text, strlen (text));
+  json_object_put (object);
+}
+
+static bool
+take_token (Bucket *bucket)
+{
+  double filled = bucket->tokens + (double) (now_ms () - bucket->filled_ms) / 1000 * bucket->rate;
+
+  bucket->tokens = filled < bucket->rate ? filled : bucket->rate;
+  bucket->filled_ms = now_ms ();
+  if (bucket->rate <= 0)
+    return true;
+  if (bucket->tokens < 1)
+    return false;
+  bucket->tokens -= 1;
+  return true;
+}
+
+static void
+answer_object (h2o_req_t *request, const char *key)
+{
+  const PlatformObject *object = platform_store_find (&platform.store, key);
+
+  if (object == NULL)
+    platform_answer (&platform.answers, request, 404, 0, NULL, 0);
+  else
+    platform_answer (&platform.answers, request, 200, object->version, object->text, object->size);
+}
+
+static void
+get_object (h2o_req_t *request, const char *key)
+{
+  const PlatformObject *object = platform_store_find (&platform.store, key);
+  char text[32];
+  uint64_t watched;
+  uint64_t wait_ms = DEFAULT_WAIT_MS;
+
+  if (!platform_query_value (request, "watch", text, sizeof text))
+    {
+      answer_object (request, key);
+      return;
+    }
+  watched = strtoull (text, NULL, 10);
+  if ((object != NULL ? object->version : 0) != watched)
+    {
+      answer_object (request, key);
+      return;
+    }
+  if (platform_query_value (request, "wait_ms", text, sizeof text))
+    wait_ms = strtoull (text, NULL, 10);
+  platform_answer_watch (&platform.answers, request, key, watched,
+                         wait_ms < MAX_WAIT_MS ? wait_ms : MAX_WAIT_MS);
+}
+
+static void
+put_object (h2o_req_t *request, const char *key)
+{
+  uint64_t expected = platform_header_number (request, "if-match", UINT64_MAX);
+  const PlatformObject *object;
+  uint64_t version;
+
+  if (expected == UINT64_MAX || request->entity.len > MAX_OBJECT_BYTES)
+    {
+      platform_answer (&platform.answers, request, expected == UINT64_MAX ? 428 : 413, 0, NULL, 0);
+      return;
+    }
+  if (!take_token (&platform.writes))
+    {
+      platform.stats.limited++;
+      platform_answer (&platform.answers, request, 429, 0, NULL, 0);
+      return;
+    }
+  version = platform_store_put (&platform.store, key, expected, request->entity.base,
+                                request->entity.len);
+  if (version == 0)
+    {
+      object = platform_store_find (&platform.store, key);
+      platform.stats.conflicts++;
+      platform_answer (&platform.answers, request, 412, object != NULL ? object->version : 0, NULL,
+                       0);
+      return;
+    }
+  platform.stats.writes++;
+  platform_answer_wake (&platform.answers, &platform.store);
+  if (platform.lose_writes > 0
+      || (platform.lose_part > 0 && tt_rng_unit (&platform.answers.rng) < platform.lose_part))
+    {
+      platform.lose_writes -= platform.lose_writes > 0;
+      platform.stats.lost++;
+      platform_answer_break (request);
+      return;
+    }
+  platform_answer (&platform.answers, request, expected == 0 ? 201 : 200, version, NULL, 0);
+}
+
+static void
+get_list (h2o_req_t *request)
+{
+  json_object *root = json_object_new_object ();
+  json_object *keys = json_object_new_array ();
+  const char *text;
+  char prefix[TT_KEY_MAX] = "";
+
+  (void) platform_query_value (request, "prefix", prefix, sizeof prefix);
+  json_object_object_add (root, "objects", keys);
+  TT_LIST_FOREACH (&platform.store.objects, it)
+    {
+      const PlatformObject *object = TT_CONTAINER_OF (it, PlatformObject, link);
+      json_object *entry;
+
+      if (strncmp (object->key, prefix, strlen (prefix)) != 0)
+        continue;
+      entry = json_object_new_object ();
+      json_object_object_add (entry, "key", json_object_new_string (object->key));
+      json_object_object_add (entry, "version", json_object_new_uint64 (object->version));
+      json_object_array_add (keys, entry);
+    }
+  text = json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN);
+  platform_answer (&platform.answers, request, 200, 0, text, strlen (text));
+  json_object_put (root);
+}
+
+static void
+get_hosts (h2o_req_t *request)
+{
+  char domain[TT_NAME_MAX] = "";
+  const PlatformHosts *hosts;
+
+  (void) platform_query_value (request, "domain", domain, sizeof domain);
+  hosts = platform_store_hosts (&platform.store, domain, now_ms ());
+  if (hosts == NULL)
+    platform_answer (&platform.answers, request, 404, 0, NULL, 0);
+  else if (platform_header_number (request, "if-none-match", 0) == hosts->version)
+    platform_answer (&platform.answers, request, 304, hosts->version, NULL, 0);
+  else
+    platform_answer (&platform.answers, request, 200, hosts->version, hosts->text,
+                     strlen (hosts->text));
+}
+
+static void
+set_faults (json_object *body)
+{
+  static const char *const outages[] = { "none", "error", "close", "silent" };
+
+  json_object_object_foreach (body, key, value)
+  {
+    if (strcmp (key, "outage") == 0)
+      {
+        for (int i = 0; i < 4; i++)
+          if (strcmp (json_object_get_string (value), outages[i]) == 0)
+            platform.outage = (Outage) i;
+      }
+    else if (strcmp (key, "lose_writes") == 0)
+      platform.lose_writes = (long) json_object_get_int64 (value);
+    else if (strcmp (key, "lose_part") == 0)
+      platform.lose_part = json_object_get_double (value);
+    else if (strcmp (key, "slow_ms") == 0)
+      platform.answers.slow_ms = (long) json_object_get_int64 (value);
+    else if (strcmp (key, "rate") == 0)
+      platform.reads.rate = json_object_get_double (value);
+    else if (strcmp (key, "write_rate") == 0)
+      platform.writes.rate = json_object_get_double (value);
+  }
+}
+
+static void
+set_lag (json_object *body)
+{
+  json_object *domain = NULL;
+  json_object *lag = NULL;
+
+  (void) json_object_object_get_ex (body, "domain", &domain);
+  (void) json_object_object_get_ex (body, "lag_ms", &lag);
+  platform_store_set_lag (&platform.store, domain != NULL ? json_object_get_string (domain) : "",
+                          json_object_get_uint64 (lag));
+}
+
+static json_object *
+make_stats (void)
+{
+  json_object *root = json_object_new_object ();
+
+  json_object_object_add (root, "calls", json_object_new_uint64 (platform.stats.calls));
+  json_object_object_add (root, "writes", json_object_new_uint64 (platform.stats.writes));
+  json_object_object_add (root, "conflicts", json_object_new_uint64 (platform.stats.conflicts));
+  json_object_object_add (root, "limited", json_object_new_uint64 (platform.stats.limited));
+  json_object_object_add (root, "lost", json_object_new_uint64 (platform.stats.lost));
+  json_object_object_add (root, "pending", json_object_new_uint64 (platform.answers.pending.count));
+  json_object_object_add (root, "objects", json_object_new_uint64 (platform.store.objects.count));
+  return root;
+}
+
+static void
+control (h2o_req_t *request, const char *what)
+{
+  h2o_iovec_t text = h2o_strdup (&request->pool, request->entity.base, request->entity.len);
+  json_object *body = request->entity.len > 0 ? json_tokener_parse (text.base) : NULL;
+  bool object = json_object_is_type (body, json_type_object);
+  unsigned status = 204;
+
+  if (strcmp (what, "stats") == 0)
+    {
+      answer_json (request, make_stats ());
+      json_object_put (body);
+      return;
+    }
+  if (strcmp (what, "faults") == 0 && object)
+    set_faults (body);
+  else if (strcmp (what, "hosts") == 0 && object)
+    platform_store_set_hosts (&platform.store, text.base, now_ms ());
+  else if (strcmp (what, "lag") == 0 && object)
+    set_lag (body);
+  else if (strcmp (what, "save") == 0)
+    platform_store_save (&platform.store);
+  else if (strcmp (what, "restore") == 0)
+    {
+      platform_store_restore (&platform.store);
+      platform_answer_wake (&platform.answers, &platform.store);
+    }
+  else
+    status = 400;
+  json_object_put (body);
+  platform_answer_now (request, status, 0, NULL, 0);
+}
+
+/// True if the call ends here because of an outage or the rate limit.
+static bool
+stop_call (h2o_req_t *request)
+{
+  platform.stats.calls++;
+  if (platform.outage == OUTAGE_ERROR)
+    platform_answer_now (request, 503, 0, NULL, 0);
+  else if (platform.outage == OUTAGE_CLOSE)
+    platform_answer_break (request);
+  else if (platform.outage == OUTAGE_SILENT)
+    platform_answer_silent (&platform.answers, request);
+  else if (!take_token (&platform.reads))
+    {
+      platform.stats.limited++;
+      platform_answer_now (request, 429, 0, NULL, 0);
+    }
+  else
+    return false;
+  return true;
+}
+
+static int
+on_request (h2o_handler_t *handler, h2o_req_t *request)
+{
+  char path[TT_KEY_MAX + 16];
+  bool get = h2o_memis (request->method.base, request->method.len, H2O_STRLIT ("GET"));
+
+  (void) handler;
+  (void) snprintf (path, sizeof path, "%.*s", (int) request->path_normalized.len,
+                   request->path_normalized.base);
+  if (strncmp (path, "/control/", 9) == 0)
+    control (request, path + 9);
+  else if (stop_call (request))
+    ;
+  else if (get && strcmp (path, "/hosts") == 0)
+    get_hosts (request);
+  else if (get && strcmp (path, "/list") == 0)
+    get_list (request);
+  else if (get && strncmp (path, "/objects/", 9) == 0)
+    get_object (request, path + 9);
+  else if (h2o_memis (request->method.base, request->method.len, H2O_STRLIT ("PUT"))
+           && strncmp (path, "/objects/", 9) == 0)
+    put_object (request, path + 9);
+  else
+    platform_answer_now (request, 400, 0, NULL, 0);
+  return 0;
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  (void) timer;
+  platform_answer_due (&platform.answers);
+}
+
+static void
+free_connection (uv_handle_t *handle)
+{
+  free (handle);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  uv_tcp_t *tcp = calloc (1, sizeof *tcp);
+
+  if (status < 0 || tcp == NULL || uv_tcp_init (listener->loop, tcp) != 0)
+    {
+      free (tcp);
+      return;
+    }
+  if (uv_accept (listener, (uv_stream_t *) tcp) != 0)
+    uv_close ((uv_handle_t *) tcp, free_connection);
+  else
+    h2o_accept (&platform.accept, h2o_uv_socket_create ((uv_stream_t *) tcp, free_connection));
+}
+
+static void
+on_lifetime (uv_timer_t *timer)
+{
+  uv_stop (timer->loop);
+}
+
+static void
+on_signal (uv_signal_t *handle, int number)
+{
+  (void) number;
+  uv_stop (handle->loop);
+}
+
+/// Listens; false after a message.
+static bool
+open_server (uv_loop_t *loop, long port)
+{
+  struct sockaddr_in address;
+  h2o_hostconf_t *host;
+  int code;
+
+  h2o_config_init (&platform.config);
+  platform.config.max_request_entity_size = 2 * (size_t) MAX_OBJECT_BYTES;
+  host
+      = h2o_config_register_host (&platform.config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  h2o_create_handler (h2o_config_register_path (host, "/", 0), sizeof (h2o_handler_t))->on_req
+      = on_request;
+  h2o_context_init (&platform.context, loop, &platform.config);
+  platform.accept.ctx = &platform.context;
+  platform.accept.hosts = platform.config.hosts;
+  (void) uv_tcp_init (loop, &platform.listener);
+  (void) uv_ip4_addr ("127.0.0.1", (int) port, &address);
+  code = uv_tcp_bind (&platform.listener, (const struct sockaddr *) &address, 0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *) &platform.listener, BACKLOG, on_connection);
+  if (code != 0)
+    (void) fprintf (stderr, "cannot listen at 127.0.0.1:%ld: %s\n", port, uv_strerror (code));
+  return code == 0;
+}
+
+static bool
+read_options (int argc, char **argv, long *port, long *seed, long *lifetime_s)
+{
+  for (int i = 1; i < argc; i += 2)
+    {
+      char *end = NULL;
+      long value = i + 1 < argc ? strtol (argv[i + 1], &end, 10) : 0;
+
+      if (end == NULL || *end != '\0')
+        return false;
+      if (strcmp (argv[i], "--port") == 0)
+        *port = value;
+      else if (strcmp (argv[i], "--seed") == 0)
+        *seed = value;
+      else if (strcmp (argv[i], "--lifetime") == 0)
+        *lifetime_s = value;
+      else
+        return false;
+    }
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  uv_loop_t *loop = uv_default_loop ();
+  uv_timer_t lifetime;
+  uv_signal_t terminate;
+  long port = 8500;
+  long seed = 1;
+  long lifetime_s = 300;
+
+  if (!read_options (argc, argv, &port, &seed, &lifetime_s))
+    {
+      (void) fprintf (stderr, "usage: standin_platform --port N --seed N --lifetime SECONDS\n");
+      return 2;
+    }
+  (void) signal (SIGPIPE, SIG_IGN);
+  platform_store_init (&platform.store);
+  platform_answers_init (&platform.answers, loop, (uint64_t) seed);
+  platform.reads.rate = DEFAULT_RATE;
+  platform.writes.rate = DEFAULT_WRITE_RATE;
+  if (!open_server (loop, port))
+    return 1;
+  (void) uv_timer_init (loop, &platform.tick);
+  (void) uv_timer_start (&platform.tick, on_tick, TICK_MS, TICK_MS);
+  (void) uv_timer_init (loop, &lifetime);
+  (void) uv_timer_start (&lifetime, on_lifetime, (uint64_t) lifetime_s * 1000, 0);
+  (void) uv_signal_init (loop, &terminate);
+  (void) uv_signal_start (&terminate, on_signal, SIGTERM);
+  (void) uv_run (loop, UV_RUN_DEFAULT);
+  return 0;
+}
