feat(fuzz): a libFuzzer program for each decoder

Cause: settings, documents, peer messages and platform objects come from outside.

The corpus is not read again by time, json-c's random hash seed and address randomisation are off, so that each run tries the same inputs. Found by the peer fuzzer: an empty string in a message passed msgpack-c's NULL pointer to memchr; fixed, with a unit test. Addresses of members and hosts must be IP numbers, since looking a name up would block or start a thread.

--- a/src/tarragontrack/codec/object.c
+++ b/src/tarragontrack/codec/object.c
@@ -4,6 +4,7 @@
 #include "tarragontrack/codec/document.h"
 #include "tarragontrack/codec/json.h"
 #include "tarragontrack/codec/object_tables.h"
+#include <arpa/inet.h>
 #include <openssl/evp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -83,7 +84,21 @@
 RECORD_READER (read_team, tt_object_team_table)
 RECORD_READER (read_wanted, tt_object_wanted_table)
 RECORD_READER (read_audit_domain, tt_object_audit_domain_table)
-RECORD_READER (read_host, tt_object_host_table)
+RECORD_READER (read_host_fields, tt_object_host_table)
+
+/// A host; its address must be an IP number, because looking a name up would start a thread.
+static int
+read_host (json_object *record, const char *path, void *target, TtError *error)
+{
+  const TtHostEntry *host = target;
+  uint8_t bytes[16];
+  int code = read_host_fields (record, path, target, error);
+
+  if (code == TT_OK && inet_pton (AF_INET, host->address, bytes) != 1
+      && inet_pton (AF_INET6, host->address, bytes) != 1)
+    code = tt_object_refuse (error, path, "address", "an IP number");
+  return code;
+}
 
 /// Reads the outcome, which is written in base64.
 static int
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -93,7 +93,7 @@
   const msgpack_object *item = take (fields, MSGPACK_OBJECT_STR);
 
   text[0] = '\0';
-  if (item == NULL)
+  if (item == NULL || item->via.str.size == 0) // the pointer of an empty string may be NULL
     return;
   if (item->via.str.size >= size || memchr (item->via.str.ptr, 0, item->via.str.size) != NULL)
     {
@@ -104,6 +104,7 @@
   text[item->via.str.size] = '\0';
 }
 
+/// An IP number as 4 or 16 bytes, or empty text. Names are refused: looking one up would block.
 static void
 take_address (Fields *fields, char *address)
 {
@@ -112,7 +113,7 @@
 
   if (fields->next < fields->count && fields->items[fields->next].type == MSGPACK_OBJECT_STR)
     {
-      take_string (fields, address, TT_ADDRESS_MAX);
+      take_string (fields, address, 1);
       return;
     }
   item = take (fields, MSGPACK_OBJECT_BIN);
--- a/src/tarragontrack/codec/peer_write.c
+++ b/src/tarragontrack/codec/peer_write.c
@@ -10,7 +10,7 @@
   (void) msgpack_pack_str_with_body (packer, text, strlen (text));
 }
 
-/// IP numbers are packed as 4 or 16 bytes, which keeps gossip short; other text is packed as it is.
+/// IP numbers are packed as 4 or 16 bytes, which keeps gossip short; anything else as empty text.
 static void
 pack_address (msgpack_packer *packer, const char *address)
 {
@@ -21,7 +21,7 @@
   else if (inet_pton (AF_INET6, address, bytes) == 1)
     (void) msgpack_pack_bin_with_body (packer, bytes, 16);
   else
-    pack_string (packer, address);
+    pack_string (packer, "");
 }
 
 /// The failure domain is 0 when it is that of the first entry, the sender.
--- a/test/codec/object_test.c
+++ b/test/codec/object_test.c
@@ -222,6 +222,8 @@
     { "hosts",
       "{\"hosts\":[{\"name\":\"x\",\"address\":\"1.2.3.4\",\"port\":70000,\"domain\":\"d\"}]}",
       "hosts[0].port: expected a whole number below 65536" },
+    { "hosts", "{\"hosts\":[{\"name\":\"x\",\"address\":\"host\",\"port\":7,\"domain\":\"d\"}]}",
+      "hosts[0].address: expected an IP number" },
     { "other/x", "{}", "unknown key" },
   };
 
--- a/test/codec/peer_test.c
+++ b/test/codec/peer_test.c
@@ -237,6 +237,18 @@
   tt_peer_reader_free (reader);
 }
 
+/// Guards against use of the pointer of an empty string, which msgpack-c leaves NULL.
+static void
+empty_fleet (void)
+{
+  static const char text[] = "\x96\x01\xa0\x06\x07\x08\x90";
+  TtPeerReader *reader = tt_peer_reader_new ("fleet");
+  const TtPeerMessage *read;
+
+  CU_ASSERT_EQUAL (tt_peer_read (reader, text, sizeof text - 1, &read, NULL), TT_E_AUTH);
+  tt_peer_reader_free (reader);
+}
+
 /// Guards against lengths that the bytes cannot hold, which would allocate gigabytes.
 static void
 absurd_lengths (void)
@@ -312,6 +324,7 @@
   { "document_is_parsed", document_is_parsed },
   { "versions", versions },
   { "other_fleet", other_fleet },
+  { "empty_fleet", empty_fleet },
   { "absurd_lengths", absurd_lengths },
   { "truncated_or_changed", truncated_or_changed },
 };
--- /dev/null
+++ b/test/fuzz/document_fuzz.c
@@ -0,0 +1,33 @@
+#include "tarragontrack/codec/document.h"
+#include <json-c/json.h>
+#include <stdlib.h>
+
+int LLVMFuzzerInitialize (int *argc, char ***argv);
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+/// Selects json-c's hash without a random seed, so that each run does the same.
+int
+LLVMFuzzerInitialize (int *argc, char ***argv)
+{
+  (void) argc, (void) argv;
+  (void) json_global_set_string_hash (JSON_C_STR_HASH_PERLLIKE);
+  return 0;
+}
+
+/// Guards against reads out of bounds, counts above their bound, and a refusal without a reason.
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static TtDocument document;
+  TtError error = { 0 };
+  int code = tt_document_parse ((const char *) data, size, "document.json", &document, &error);
+
+  if (code != error.code || (code != TT_OK && error.detail[0] == '\0'))
+    abort ();
+  if (code == TT_OK
+      && (document.service_count > TT_DOCUMENT_SERVICES
+          || document.account_count > TT_DOCUMENT_ACCOUNTS
+          || document.kind_count > TT_DOCUMENT_KINDS))
+    abort ();
+  return 0;
+}
--- /dev/null
+++ b/test/fuzz/object_fuzz.c
@@ -0,0 +1,68 @@
+#include "tarragontrack/codec/digest.h"
+#include "tarragontrack/codec/object.h"
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerInitialize (int *argc, char ***argv);
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+/// Selects json-c's hash without a random seed, so that each run does the same.
+int
+LLVMFuzzerInitialize (int *argc, char ***argv)
+{
+  (void) argc, (void) argv;
+  (void) json_global_set_string_hash (JSON_C_STR_HASH_PERLLIKE);
+  return 0;
+}
+
+/// Reads a text under a key; the key of a document is the hash of the text.
+static TtObject *
+read_text (const char *prefix, const char *text, size_t size)
+{
+  char key[TT_KEY_MAX] = "";
+  TtDigest digest;
+  TtObject *object = NULL;
+  TtError error = { 0 };
+  int code;
+
+  memcpy (key, prefix, strlen (prefix));
+  if (strcmp (prefix, "documents/") == 0 && tt_digest_compute (text, size, &digest) == TT_OK)
+    tt_digest_format (&digest, key + strlen (prefix));
+  code = tt_object_read (key, text, size, &object, &error);
+  if ((code == TT_OK) != (object != NULL) || (code != TT_OK && error.detail[0] == '\0'))
+    abort ();
+  return object;
+}
+
+/// Guards against reads out of bounds, leaks, and an object that changes when it is written and
+/// read again. The first byte selects the type.
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static const char *const prefixes[]
+      = { "config/head", "documents/", "config/accepted", "domains/x", "leases/x",
+          "claims/1",    "orders/m",   "audit/1",         "hosts" };
+  const char *prefix;
+  TtObject *object;
+  char *text[2] = { NULL, NULL };
+  size_t length[2] = { 0, 0 };
+
+  if (size < 1)
+    return 0;
+  prefix = prefixes[(size_t) (data[0] - '0') % (sizeof prefixes / sizeof prefixes[0])];
+  object = read_text (prefix, (const char *) data + 1, size - 1);
+  if (object == NULL)
+    return 0;
+  if (tt_object_write (object, prefix, &text[0], &length[0], NULL) != TT_OK)
+    abort ();
+  tt_object_free (object);
+  object = read_text (prefix, text[0], length[0]);
+  if (object == NULL || tt_object_write (object, prefix, &text[1], &length[1], NULL) != TT_OK
+      || strcmp (text[0], text[1]) != 0)
+    abort ();
+  tt_object_free (object);
+  free (text[0]);
+  free (text[1]);
+  return 0;
+}
--- /dev/null
+++ b/test/fuzz/peer_fuzz.c
@@ -0,0 +1,42 @@
+#include "tarragontrack/codec/peer.h"
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerInitialize (int *argc, char ***argv);
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+/// Selects json-c's hash without a random seed, so that each run does the same.
+int
+LLVMFuzzerInitialize (int *argc, char ***argv)
+{
+  (void) argc, (void) argv;
+  (void) json_global_set_string_hash (JSON_C_STR_HASH_PERLLIKE);
+  return 0;
+}
+
+/// Guards against reads out of bounds, memory without bound, and a message that changes when it is
+/// written and read again.
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static TtPeerReader *reader;
+  const TtPeerMessage *message;
+  char *first = NULL;
+  char *second = NULL;
+  size_t first_size = 0;
+  size_t second_size = 0;
+
+  if (reader == NULL)
+    reader = tt_peer_reader_new ("fleet");
+  if (tt_peer_read (reader, data, size, &message, NULL) != TT_OK)
+    return 0;
+  if (tt_peer_write (message, "fleet", &first, &first_size) != TT_OK
+      || tt_peer_read (reader, first, first_size, &message, NULL) != TT_OK
+      || tt_peer_write (message, "fleet", &second, &second_size) != TT_OK
+      || first_size != second_size || memcmp (first, second, first_size) != 0)
+    abort ();
+  free (first);
+  free (second);
+  return 0;
+}
--- /dev/null
+++ b/tools/checks/fuzz.sh
@@ -0,0 +1,29 @@
+#!/bin/sh
+# Runs each decoder's fuzzer for a fixed number of inputs from a fixed seed. Addresses are not
+# randomised and the corpus is not read again by time, because both change the inputs tried.
+set -eu
+build=build-fuzz
+CC=clang cmake -S . -B "$build" -DTT_FUZZ=ON -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
+cmake --build "$build" -j "${JOBS:-6}" --target fuzzers > "$build/build.log" 2>&1 || {
+  tail -40 "$build/build.log"
+  exit 1
+}
+status=0
+run () { # name, number of inputs
+  corpus=$build/corpus-$1
+  rm -rf "$corpus"
+  mkdir "$corpus"
+  if setarch -R "$build/$1_fuzz" -seed=1 -reload=0 -runs="$2" -max_len=4096 -timeout=10 -rss_limit_mb=1024 \
+      -artifact_prefix="$build/$1-" "$corpus" "test/fuzz/corpus/$1" > "$build/$1.log" 2>&1; then
+    grep -E '^Done|DONE' "$build/$1.log" | sed "s/^/$1: /"
+  else
+    status=1
+    echo "$1: failed, inputs are in $build/$1-*"
+    tail -40 "$build/$1.log"
+  fi
+}
+run settings 150000
+run document 150000
+run peer 300000
+run object 200000
+exit $status
