fix(fuzz): run the fuzzers with an empty environment

Cause: the size of the environment moves the stack, which changed the inputs tried: the coverage figures under make differed from those in a shell. Change: env -i before the fuzzer.

--- a/tools/checks/fuzz.sh
+++ b/tools/checks/fuzz.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs each decoder's fuzzer for a fixed number of inputs from a fixed seed. Addresses are not
-# randomised and the corpus is not read again by time, because both change the inputs tried.
+# randomised, the environment is empty and the corpus is not read again by time, because all three
+# change the inputs tried.
 set -eu
 build=build-fuzz
 CC=clang cmake -S . -B "$build" -DTT_FUZZ=ON -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
@@ -13,7 +14,7 @@
   corpus=$build/corpus-$1
   rm -rf "$corpus"
   mkdir "$corpus"
-  if setarch -R "$build/$1_fuzz" -seed=1 -reload=0 -runs="$2" -max_len=4096 -timeout=10 -rss_limit_mb=1024 \
+  if env -i setarch -R "$build/$1_fuzz" -seed=1 -reload=0 -runs="$2" -max_len=4096 -timeout=10 -rss_limit_mb=1024 \
       -artifact_prefix="$build/$1-" "$corpus" "test/fuzz/corpus/$1" > "$build/$1.log" 2>&1; then
     grep -E '^Done|DONE' "$build/$1.log" | sed "s/^/$1: /"
   else
