feat(io): caller server, backend client, operator server and stand-ins

The front end's parts without the router: h2o servers, attempts over the HTTP client, load reports, orders, metrics and status. Engine and service stand-ins use the same HTTP server. Builds and lints; not run end to end yet.

--- /dev/null
+++ b/src/tarragontrack/io/backend_answer.c
@@ -0,0 +1,215 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/io/backend_defs.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define STATUS_OK 200
+
+/// Ends the call of an attempt and fails it.
+static void
+stop_attempt (TtBackendAttempt *attempt, int code, const char *detail)
+{
+  TtError error = { 0 };
+
+  (void) tt_error_set (&error, code, TT_STEP_RECEIVE, attempt->name, "%s", detail);
+  if (attempt->call != NULL)
+    tt_http_call_cancel (attempt->call);
+  tt_backend_attempt_fail (attempt, &error);
+}
+
+/// Tells the board of progress. RETURN false if the attempt is closed now.
+static bool
+post_progress (TtBackendAttempt *attempt, uint32_t tokens)
+{
+  TtBackendClient *client = attempt->client;
+  TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS };
+  uint64_t id = attempt->id;
+
+  event.attempt.attempt_id = id;
+  event.attempt.tokens = tokens;
+  event.attempt.status = attempt->status;
+  client->front.post (client->front.context, &event);
+  return tt_backend_attempt_find (client, id) == attempt;
+}
+
+void
+tt_backend_on_sent (void *context)
+{
+  TtBackendAttempt *attempt = context;
+  TtEvent event = { .type = TT_EVENT_ATTEMPT_SENT, .attempt.attempt_id = attempt->id };
+
+  attempt->sent = true;
+  event.attempt.sent = true;
+  attempt->client->front.post (attempt->client->front.context, &event);
+}
+
+/// Checks that the answer belongs to the attempt. A plain service need not return the id.
+static bool
+check_token (const TtBackendAttempt *attempt, const TtHttpCall *call)
+{
+  const char *token = tt_http_call_header (call, "X-Attempt-Id");
+
+  return token != NULL ? strcmp (token, attempt->token) == 0 : !attempt->engine;
+}
+
+/// True if the engine continues where the relayed part ends.
+static bool
+check_resume (const TtBackendAttempt *attempt, const TtHttpCall *call)
+{
+  const char *from = tt_http_call_header (call, "X-Resume-From");
+
+  if (attempt->resume_from == 0 || !attempt->events)
+    return attempt->resume_from == 0;
+  return from != NULL && strtoul (from, NULL, 10) == attempt->resume_from;
+}
+
+void
+tt_backend_on_headers (void *context, TtHttpCall *call, unsigned status)
+{
+  TtBackendAttempt *attempt = context;
+  const char *type = tt_http_call_header (call, "Content-Type");
+
+  attempt->status = status;
+  if (type != NULL)
+    (void) snprintf (attempt->content_type, sizeof attempt->content_type, "%s", type);
+  attempt->events = attempt->wanted && status == STATUS_OK && type != NULL
+                    && strncasecmp (type, "text/event-stream", 17) == 0;
+  if (!check_token (attempt, call))
+    {
+      tt_board_count (attempt->client->front.board, TT_COUNT_LATE_ANSWERS, 1);
+      stop_attempt (attempt, TT_E_STALE, "the answer carries another attempt's id");
+    }
+  else if (!check_resume (attempt, call))
+    stop_attempt (attempt, TT_E_VERSION, "the engine did not resume the stream at the offset");
+  else if (attempt->wanted && !attempt->events && status == STATUS_OK)
+    stop_attempt (attempt, TT_E_MALFORMED, "expected a stream of events");
+}
+
+/// Appends to the attempt's buffer. RETURN false if memory is exhausted.
+static bool
+append_data (TtBackendAttempt *attempt, const char *data, size_t size)
+{
+  if (attempt->size + size > attempt->capacity)
+    {
+      size_t capacity = 2 * (attempt->size + size);
+      char *buffer = realloc (attempt->buffer, capacity);
+
+      if (buffer == NULL)
+        return false;
+      attempt->buffer = buffer;
+      attempt->capacity = capacity;
+    }
+  memcpy (attempt->buffer + attempt->size, data, size);
+  attempt->size += size;
+  return true;
+}
+
+void
+tt_backend_attempt_flush (TtBackendAttempt *attempt)
+{
+  TtBackendClient *client = attempt->client;
+  TtCallerCall *caller;
+  size_t size = attempt->ready;
+
+  if (!attempt->relayed || size == 0)
+    return;
+  caller = tt_caller_server_find (client->options.callers, attempt->request_id);
+  attempt->size -= size;
+  attempt->ready = 0;
+  if (caller != NULL
+      && tt_caller_server_write (client->options.callers, caller, attempt->buffer, size)
+      && attempt->call != NULL)
+    tt_http_call_pause (attempt->call, true);
+  memmove (attempt->buffer, attempt->buffer + size, attempt->size);
+}
+
+/// Reads new events of a stream.
+static void
+read_events (TtBackendAttempt *attempt)
+{
+  uint32_t before = attempt->scan.tokens;
+
+  attempt->ready += tt_sse_scan (attempt->buffer + attempt->ready, attempt->size - attempt->ready,
+                                 &attempt->scan);
+  if (attempt->scan.tokens > before && !post_progress (attempt, attempt->scan.tokens - before))
+    return;
+  tt_backend_attempt_flush (attempt);
+  if (attempt->scan.error)
+    stop_attempt (attempt, TT_E_MALFORMED, "the engine reported an error in the stream");
+  else if (attempt->size > TT_SSE_EVENT_MAX)
+    stop_attempt (attempt, TT_E_LIMIT, "an event of the stream is too long");
+}
+
+/// Relays a plain answer that is too long to be kept until it is whole.
+static void
+relay_overflow (TtBackendAttempt *attempt)
+{
+  attempt->overflow = true;
+  attempt->ready = attempt->size;
+  if (post_progress (attempt, 0))
+    tt_backend_attempt_flush (attempt);
+}
+
+void
+tt_backend_on_data (void *context, const char *data, size_t size)
+{
+  TtBackendAttempt *attempt = context;
+
+  if (!append_data (attempt, data, size))
+    stop_attempt (attempt, TT_E_NO_MEMORY, "answer");
+  else if (attempt->events)
+    read_events (attempt);
+  else if (attempt->overflow || attempt->size > attempt->client->options.answer_bytes)
+    relay_overflow (attempt);
+}
+
+/// Tells the board that the whole answer arrived, and ends the caller's answer if it was relayed.
+static void
+finish_attempt (TtBackendAttempt *attempt)
+{
+  TtBackendClient *client = attempt->client;
+  TtEvent event = { .type = TT_EVENT_ATTEMPT_DONE };
+  uint64_t id = attempt->id;
+  TtCallerCall *caller;
+
+  attempt->whole = true;
+  attempt->ready = attempt->size; // with [DONE]
+  event.attempt.attempt_id = id;
+  event.attempt.status = attempt->status;
+  event.attempt.cached_tokens = attempt->scan.cached_tokens;
+  if (!attempt->events && attempt->engine)
+    event.attempt.cached_tokens = tt_sse_cached_tokens (attempt->buffer, attempt->size);
+  if (!attempt->events && !attempt->overflow)
+    {
+      event.attempt.body = attempt->size > 0 ? attempt->buffer : "";
+      event.attempt.body_size = (uint32_t) attempt->size;
+    }
+  client->front.post (client->front.context, &event);
+  if (tt_backend_attempt_find (client, id) != attempt)
+    return;
+  tt_backend_attempt_flush (attempt);
+  caller = tt_caller_server_find (client->options.callers, attempt->request_id);
+  if (attempt->relayed && caller != NULL)
+    tt_caller_server_end (client->options.callers, caller);
+  tt_backend_attempt_free (attempt);
+}
+
+void
+tt_backend_on_end (void *context, const TtError *error)
+{
+  TtBackendAttempt *attempt = context;
+
+  attempt->call = NULL;
+  if (error->code == TT_OK && (!attempt->events || attempt->scan.done))
+    finish_attempt (attempt);
+  else if (error->code == TT_OK)
+    stop_attempt (attempt, TT_E_CRASHED, "the stream ended before [DONE]");
+  else
+    {
+      attempt->sent = attempt->sent || error->code != TT_E_UNAVAILABLE;
+      tt_backend_attempt_fail (attempt, error);
+    }
+}
--- /dev/null
+++ b/src/tarragontrack/io/clock.h
@@ -0,0 +1,10 @@
+/// Clock of the daemon.
+#pragma once
+
+#include <stdint.h>
+
+/// Microseconds on CLOCK_BOOTTIME, which goes on during a pause of the host.
+int64_t tt_clock_now_us (void);
+
+/// Wall clock in microseconds, for the incarnation only.
+uint64_t tt_clock_wall_us (void);
--- a/src/tarragontrack/io/http_client.h
+++ b/src/tarragontrack/io/http_client.h
@@ -10,7 +10,8 @@
 typedef struct TtHttpClient TtHttpClient;
 typedef struct TtHttpCall TtHttpCall;
 
-/// One call. Text and callbacks' context must stay valid until on_end.
+/// One call. `method`, `peer` and the callbacks' context must stay valid until on_end; other texts
+/// are copied.
 typedef struct
 {
   const char *method;         ///< "GET", "POST", "PUT" or "DELETE"
--- /dev/null
+++ b/src/tarragontrack/io/http_server.c
@@ -0,0 +1,270 @@
+#include "tarragontrack/io/http_server.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/codec/chat.h"
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 512
+
+struct TtHttpServer
+{
+  TtHttpServerOptions options;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  uv_tcp_t listener;
+  uint32_t connections;
+  bool closing;
+};
+
+typedef struct
+{
+  h2o_handler_t handler;
+  TtHttpServer *server;
+} Handler;
+
+typedef struct
+{
+  uv_tcp_t tcp; ///< first, for the close callback
+  TtHttpServer *server;
+} Connection;
+
+/// Sends an error that the server itself found.
+static int
+refuse (h2o_req_t *req, unsigned status, const char *message)
+{
+  char body[TT_ERROR_JSON_MAX];
+  size_t size = tt_chat_format_error (body, sizeof body, status, "", TT_OUTCOME_NOT_RUN, message);
+
+  tt_http_server_add_header (req, "x-outcome", "not-run");
+  tt_http_server_send (req, status, "application/json", body, size);
+  return 0;
+}
+
+static int
+on_req (h2o_handler_t *handler, h2o_req_t *req)
+{
+  TtHttpServer *server = ((Handler *) handler)->server;
+  size_t size = req->path.len;
+
+  for (size_t i = 0; i < req->headers.size; i++)
+    size += req->headers.entries[i].name->len + req->headers.entries[i].value.len;
+  if (size > server->options.max_header_bytes)
+    return refuse (req, 431, "the request's headers are too large");
+  if (req->entity.len > server->options.max_body_bytes)
+    return refuse (req, 413, "the request's body is too large");
+  if (server->closing)
+    req->http1_is_persistent = 0;
+  server->options.on_request (server->options.context, req);
+  return 0;
+}
+
+static void
+on_connection_closed (uv_handle_t *handle)
+{
+  Connection *connection = (Connection *) handle;
+
+  connection->server->connections--;
+  free (connection);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  TtHttpServer *server = listener->data;
+  Connection *connection;
+  h2o_socket_t *socket;
+
+  if (status != 0)
+    return;
+  connection = calloc (1, sizeof *connection);
+  if (connection == NULL)
+    return;
+  connection->server = server;
+  server->connections++;
+  (void) uv_tcp_init (listener->loop, &connection->tcp);
+  if (uv_accept (listener, (uv_stream_t *) &connection->tcp) != 0
+      || server->connections > server->options.max_connections)
+    {
+      uv_close ((uv_handle_t *) &connection->tcp, on_connection_closed);
+      return;
+    }
+  (void) uv_tcp_nodelay (&connection->tcp, 1);
+  socket = h2o_uv_socket_create ((uv_stream_t *) &connection->tcp, on_connection_closed);
+  h2o_accept (&server->accept, socket);
+}
+
+/// Reads certificate and key into a new TLS context.
+static SSL_CTX *
+load_certificate (const TtHttpServerOptions *options, TtError *error)
+{
+  SSL_CTX *context = SSL_CTX_new (TLS_server_method ());
+
+  if (context == NULL)
+    {
+      (void) tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_LISTEN, options->address, "TLS context");
+      return NULL;
+    }
+  (void) SSL_CTX_set_min_proto_version (context, TLS1_2_VERSION);
+  if (SSL_CTX_use_certificate_chain_file (context, options->certificate_file) != 1
+      || SSL_CTX_use_PrivateKey_file (context, options->key_file, SSL_FILETYPE_PEM) != 1
+      || SSL_CTX_check_private_key (context) != 1)
+    {
+      (void) tt_error_set (error, TT_E_INVALID, TT_STEP_LISTEN, options->address,
+                           "%s, %s: expected a certificate chain and its key in PEM",
+                           options->certificate_file, options->key_file);
+      SSL_CTX_free (context);
+      return NULL;
+    }
+  h2o_ssl_register_alpn_protocols (context, h2o_http2_alpn_protocols);
+  return context;
+}
+
+/// Sets up h2o's configuration with one handler for all paths.
+static void
+configure (TtHttpServer *server)
+{
+  const TtHttpServerOptions *options = &server->options;
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+  Handler *handler;
+
+  h2o_config_init (&server->config);
+  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("tarragontrack"));
+  server->config.max_request_entity_size = options->max_body_bytes;
+  server->config.http1.req_timeout = options->read_timeout_ms;
+  server->config.http2.idle_timeout = options->read_timeout_ms;
+  host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path = h2o_config_register_path (host, "/", 0);
+  handler = (Handler *) h2o_create_handler (path, sizeof *handler);
+  handler->handler.on_req = on_req;
+  handler->server = server;
+}
+
+/// Binds and listens.
+static int
+listen_on (TtHttpServer *server, uv_loop_t *loop, TtError *error)
+{
+  const TtHttpServerOptions *options = &server->options;
+  struct sockaddr_storage address;
+  int code = uv_ip4_addr (options->address, options->port, (struct sockaddr_in *) &address);
+
+  if (code != 0)
+    code = uv_ip6_addr (options->address, options->port, (struct sockaddr_in6 *) &address);
+  (void) uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  if (code == 0)
+    code = uv_tcp_bind (&server->listener, (const struct sockaddr *) &address, 0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *) &server->listener, BACKLOG, on_connection);
+  if (code == 0)
+    return TT_OK;
+  uv_close ((uv_handle_t *) &server->listener, NULL);
+  return tt_error_set (error, TT_E_UNAVAILABLE, TT_STEP_LISTEN, options->address, "port %u: %s",
+                       options->port, uv_strerror (code));
+}
+
+TtHttpServer *
+tt_http_server_new (uv_loop_t *loop, const TtHttpServerOptions *options, TtError *error)
+{
+  TtHttpServer *server = calloc (1, sizeof *server);
+
+  if (server == NULL)
+    {
+      (void) tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_LISTEN, options->address, "server");
+      return NULL;
+    }
+  server->options = *options;
+  if (options->certificate_file != NULL)
+    {
+      server->accept.ssl_ctx = load_certificate (options, error);
+      if (server->accept.ssl_ctx == NULL)
+        {
+          free (server);
+          return NULL;
+        }
+    }
+  configure (server);
+  h2o_context_init (&server->context, loop, &server->config);
+  server->accept.ctx = &server->context;
+  server->accept.hosts = server->config.hosts;
+  // On failure the caller ends the process; h2o's timers belong to the loop until then.
+  return listen_on (server, loop, error) == TT_OK ? server : NULL;
+}
+
+int
+tt_http_server_reload (TtHttpServer *server, TtError *error)
+{
+  SSL_CTX *context;
+
+  if (server->accept.ssl_ctx == NULL)
+    return TT_OK;
+  context = load_certificate (&server->options, error);
+  if (context == NULL)
+    return error->code;
+  SSL_CTX_free (server->accept.ssl_ctx); // open connections hold their own reference
+  server->accept.ssl_ctx = context;
+  return TT_OK;
+}
+
+void
+tt_http_server_close (TtHttpServer *server)
+{
+  if (server->closing)
+    return;
+  server->closing = true;
+  uv_close ((uv_handle_t *) &server->listener, NULL);
+  h2o_context_request_shutdown (&server->context);
+}
+
+uint32_t
+tt_http_server_connections (const TtHttpServer *server)
+{
+  return server->connections;
+}
+
+void
+tt_http_server_free (TtHttpServer *server)
+{
+  if (server == NULL)
+    return;
+  if (server->accept.ssl_ctx != NULL)
+    SSL_CTX_free (server->accept.ssl_ctx);
+  free (server);
+}
+
+const char *
+tt_http_server_header (h2o_req_t *request, const char *name)
+{
+  ssize_t index = h2o_find_header_by_str (&request->headers, name, strlen (name), -1);
+  h2o_iovec_t value;
+
+  if (index < 0)
+    return NULL;
+  value = request->headers.entries[index].value;
+  return h2o_strdup (&request->pool, value.base, value.len).base;
+}
+
+void
+tt_http_server_add_header (h2o_req_t *request, const char *name, const char *value)
+{
+  h2o_iovec_t copy = h2o_strdup (&request->pool, value, SIZE_MAX);
+  h2o_iovec_t key = h2o_strdup (&request->pool, name, SIZE_MAX);
+
+  h2o_add_header_by_str (&request->pool, &request->res.headers, key.base, key.len, 1, NULL,
+                         copy.base, copy.len);
+}
+
+void
+tt_http_server_send (h2o_req_t *request, unsigned status, const char *content_type,
+                     const char *body, size_t size)
+{
+  request->res.status = (int) status;
+  request->res.reason = "";
+  tt_http_server_add_header (request, "content-type", content_type);
+  h2o_send_inline (request, body, size);
+}
--- /dev/null
+++ b/src/tarragontrack/io/operator_text.c
@@ -0,0 +1,223 @@
+#include "tarragontrack/io/operator_text.h"
+#include "tarragontrack/board/counter.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+static const char *const stage_names[TT_STAGE_COUNT]
+    = { "free", "arrived", "queued", "claiming", "ready", "running", "finished" };
+static const char *const backend_states[] = { "live", "damped", "leaving", "gone" };
+static const char *const member_states[] = { "alive", "suspect", "leaving", "gone" };
+static const char *const drain_states[] = { "serving", "announced", "closing", "done" };
+static const char *const reasons[]
+    = { "none", "home", "moved", "hint", "overflow", "spill", "least-load" };
+
+/// Writes one gauge of a pool.
+static void
+write_pool (FILE *out, const TtPool *pool)
+{
+  (void) fprintf (out, "tarragontrack_pool_queued{service=\"%s\"} %u\n", pool->spec.name,
+                  pool->admit.queued);
+  (void) fprintf (out, "tarragontrack_pool_backends{service=\"%s\"} %u\n", pool->spec.name,
+                  pool->backends.count);
+  (void) fprintf (out, "tarragontrack_pool_free_slots{service=\"%s\"} %u\n", pool->spec.name,
+                  pool->share.free_slots);
+}
+
+/// Writes the gauges of a backend server.
+static void
+write_backend (FILE *out, const TtBackendServer *backend)
+{
+  (void) fprintf (out, "tarragontrack_backend_attempts{backend=\"%s\"} %u\n", backend->name,
+                  backend->attempts.count);
+  (void) fprintf (out, "tarragontrack_backend_ejected{backend=\"%s\"} %d\n", backend->name,
+                  backend->health.ejected ? 1 : 0);
+  (void) fprintf (out, "tarragontrack_backend_lent_slots{backend=\"%s\"} %u\n", backend->name,
+                  backend->share.lent);
+}
+
+char *
+tt_operator_metrics (const TtBoard *board, size_t *size)
+{
+  char *text = NULL;
+  FILE *out = open_memstream (&text, size);
+
+  if (out == NULL)
+    return NULL;
+  for (int i = 0; i < TT_COUNT_END; i++)
+    {
+      const char *name = tt_counter_name ((TtCounterId) i);
+
+      (void) fprintf (out, "# HELP %s %s\n# TYPE %s counter\n%s %llu\n", name,
+                      tt_counter_help ((TtCounterId) i), name, name,
+                      (unsigned long long) board->counters[i]);
+    }
+  (void) fprintf (out, "# HELP tarragontrack_requests requests on the board by stage\n"
+                       "# TYPE tarragontrack_requests gauge\n");
+  for (int stage = TT_STAGE_ARRIVED; stage < TT_STAGE_COUNT; stage++)
+    (void) fprintf (out, "tarragontrack_requests{stage=\"%s\"} %u\n", stage_names[stage],
+                    board->requests.stages[stage].count);
+  (void) fprintf (out,
+                  "# HELP tarragontrack_epoch configuration epoch in force\n"
+                  "# TYPE tarragontrack_epoch gauge\ntarragontrack_epoch %llu\n",
+                  (unsigned long long) board->configuration.epoch);
+  (void) fprintf (out,
+                  "# HELP tarragontrack_ready 1 if the daemon takes requests\n"
+                  "# TYPE tarragontrack_ready gauge\ntarragontrack_ready %d\n",
+                  board->drain.ready ? 1 : 0);
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    write_pool (out, TT_CONTAINER_OF (it, TtPool, link));
+  TT_LIST_FOREACH (&board->backends.all, it)
+    write_backend (out, TT_CONTAINER_OF (it, TtBackendServer, link));
+  (void) fclose (out);
+  return text;
+}
+
+static void
+add_text (json_object *object, const char *key, const char *value)
+{
+  json_object_object_add (object, key, json_object_new_string (value));
+}
+
+static void
+add_number (json_object *object, const char *key, uint64_t value)
+{
+  json_object_object_add (object, key, json_object_new_uint64 (value));
+}
+
+static void
+add_flag (json_object *object, const char *key, bool value)
+{
+  json_object_object_add (object, key, json_object_new_boolean (value));
+}
+
+static json_object *
+describe_backend (const TtBackendServer *backend)
+{
+  json_object *object = json_object_new_object ();
+
+  add_text (object, "name", backend->name);
+  add_text (object, "address", backend->address);
+  add_number (object, "port", backend->port);
+  add_text (object, "service", backend->pool != NULL ? backend->pool->spec.name : "");
+  add_text (object, "state", backend_states[backend->roster.state]);
+  add_flag (object, "ejected", backend->health.ejected);
+  json_object_object_add (object, "factor", json_object_new_double (backend->health.factor));
+  add_number (object, "first_token_us", (uint64_t) backend->health.first_token_us);
+  add_number (object, "per_token_us", (uint64_t) backend->health.per_token_us);
+  add_number (object, "attempts", backend->attempts.count);
+  add_number (object, "batch_limit", backend->batch_limit);
+  add_number (object, "lent", backend->share.lent);
+  add_number (object, "used", backend->share.used);
+  add_number (object, "room", backend->share.room);
+  add_number (object, "reported_running", backend->reported_running);
+  add_number (object, "reported_waiting", backend->reported_waiting);
+  add_text (object, "role", backend->order.observed.role);
+  return object;
+}
+
+static json_object *
+describe_member (const TtMember *member)
+{
+  json_object *object = json_object_new_object ();
+  char id[17];
+
+  (void) snprintf (id, sizeof id, "%016llx", (unsigned long long) member->entry.id);
+  add_text (object, "id", id);
+  add_text (object, "name", member->name);
+  add_text (object, "address", member->entry.address);
+  add_text (object, "state", member_states[member->entry.state]);
+  add_number (object, "epoch", member->entry.epoch);
+  add_flag (object, "self", member->self);
+  return object;
+}
+
+static json_object *
+describe_pool (const TtPool *pool)
+{
+  json_object *object = json_object_new_object ();
+
+  add_text (object, "service", pool->spec.name);
+  add_text (object, "type", pool->spec.type == TT_SERVICE_MODEL ? "model" : "plain");
+  add_number (object, "backends", pool->backends.count);
+  add_number (object, "queued", pool->admit.queued);
+  add_number (object, "free_slots", pool->share.free_slots);
+  return object;
+}
+
+static json_object *
+describe_lease (const TtLease *lease, int64_t now_us)
+{
+  json_object *object = json_object_new_object ();
+
+  add_text (object, "role", lease->role);
+  add_flag (object, "held", lease->held && now_us < lease->renewed_us + lease->duration_us);
+  add_number (object, "fencing", lease->fencing);
+  return object;
+}
+
+json_object *
+tt_operator_status (const TtBoard *board, int64_t now_us)
+{
+  json_object *root = json_object_new_object ();
+  json_object *array = json_object_new_array ();
+
+  add_text (root, "daemon", board->config.name);
+  add_text (root, "fleet", board->config.fleet);
+  add_text (root, "domain", board->config.domain);
+  add_flag (root, "ready", board->drain.ready);
+  add_text (root, "drain", drain_states[board->drain.state]);
+  add_number (root, "generation", board->configuration.generation);
+  add_number (root, "epoch", board->configuration.epoch);
+  add_number (root, "accepted_epoch", board->configuration.accepted_epoch);
+  TT_LIST_FOREACH (&board->member.all, it)
+    json_object_array_add (array, describe_member (TT_CONTAINER_OF (it, TtMember, link)));
+  json_object_object_add (root, "members", array);
+  array = json_object_new_array ();
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    json_object_array_add (array, describe_pool (TT_CONTAINER_OF (it, TtPool, link)));
+  json_object_object_add (root, "pools", array);
+  array = json_object_new_array ();
+  TT_LIST_FOREACH (&board->backends.all, it)
+    json_object_array_add (array, describe_backend (TT_CONTAINER_OF (it, TtBackendServer, link)));
+  json_object_object_add (root, "backends", array);
+  array = json_object_new_array ();
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    json_object_array_add (array, describe_lease (&board->lease.leases[i], now_us));
+  json_object_object_add (root, "leases", array);
+  array = json_object_new_object ();
+  for (int stage = TT_STAGE_ARRIVED; stage < TT_STAGE_COUNT; stage++)
+    add_number (array, stage_names[stage], board->requests.stages[stage].count);
+  json_object_object_add (root, "requests", array);
+  return root;
+}
+
+json_object *
+tt_operator_explain (const TtPlacementNote *notes, size_t count, uint64_t request_id)
+{
+  json_object *root = json_object_new_object ();
+  json_object *array = json_object_new_array ();
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const TtPlacementNote *note = &notes[i];
+      json_object *object;
+
+      if (request_id == 0 || note->request_id != request_id)
+        continue;
+      object = json_object_new_object ();
+      add_text (object, "backend", note->backend);
+      add_text (object, "home", note->home);
+      add_text (object, "reason",
+                note->resume_from > 0 ? "resume"
+                : note->hedge         ? "hedge"
+                                      : reasons[note->reason]);
+      add_number (object, "rank", note->rank);
+      add_number (object, "resume_from", note->resume_from);
+      add_text (object, "service", note->service);
+      add_text (object, "account", note->account);
+      add_number (object, "at_us", (uint64_t) note->at_us);
+      json_object_array_add (array, object);
+    }
+  json_object_object_add (root, "attempts", array);
+  return root;
+}
--- /dev/null
+++ b/test/standin/engine.c
@@ -0,0 +1,191 @@
+/// Stand-in for a model engine: continuous batching, streams that can be resumed, a limited prefix
+/// cache, load reports with a lag, orders, KV export and import, and faults by POST /control.
+#include "common/engine_job.h"
+#include "common/standin.h"
+#include "tarragontrack/board/hash.h"
+#include <stdio.h>
+#include <string.h>
+
+#define CHAT_PATH "/v1/chat/completions"
+#define STATUS_CONFLICT 409
+
+/// Load as it was at the last report.
+static void
+send_load (Engine *engine, h2o_req_t *request)
+{
+  static const char *const keys[] = { "model", "adapter", "version", "role" };
+  char path[64] = "";
+  json_object *root = json_object_new_object ();
+  json_object *value = NULL;
+  const char *since;
+  uint64_t next;
+
+  (void) snprintf (path, sizeof path, "%.*s", (int) request->path.len, request->path.base);
+  since = strstr (path, "since=");
+  json_object_object_add (root, "running", json_object_new_int64 (engine->reported_running));
+  json_object_object_add (root, "waiting", json_object_new_int64 (engine->reported_waiting));
+  json_object_object_add (root, "served", json_object_new_uint64 (engine->served));
+  json_object_object_add (root, "generated", json_object_new_uint64 (engine->generated));
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    if (json_object_object_get_ex (engine->role, keys[i], &value))
+      json_object_object_add (root, keys[i], json_object_get (value));
+  json_object_object_add (root, "events",
+                          engine_cache_events (&engine->cache,
+                                               since != NULL ? strtoull (since + 6, NULL, 10) : 0,
+                                               &next));
+  json_object_object_add (root, "next", json_object_new_uint64 (next));
+  standin_send_json (request, 200, root);
+}
+
+/// Accepts an order, or refuses one with an old fencing number.
+static void
+take_order (Engine *engine, h2o_req_t *request)
+{
+  json_object *body = standin_body (request);
+  uint64_t number = (uint64_t) standin_number (body, "fencing", 0);
+
+  if (body == NULL || (engine->fencing != 0 && number < engine->fencing_seen))
+    {
+      json_object_put (body);
+      standin_send_json (request, STATUS_CONFLICT, json_object_new_object ());
+      return;
+    }
+  if (number > engine->fencing_seen)
+    engine->fencing_seen = number;
+  json_object_put (engine->ordered);
+  engine->ordered = body;
+  engine->order_due_ms = uv_now (engine->standin.loop) + (uint64_t) engine->load_lag_ms;
+  standin_send_json (request, 200, json_object_new_object ());
+}
+
+/// Sets faults.
+static void
+control (Engine *engine, h2o_req_t *request)
+{
+  json_object *body = standin_body (request);
+  long crash_ms = standin_number (body, "crash_ms", 0);
+
+  engine->slow = standin_number (body, "slow", engine->slow);
+  engine->cut_after = standin_number (body, "cut_after", engine->cut_after);
+  engine->wrong_id = standin_number (body, "wrong_id", engine->wrong_id);
+  engine->token_ms = standin_number (body, "token_ms", engine->token_ms);
+  if (standin_number (body, "silent", 0) != 0)
+    engine->silent_from_ms = uv_now (engine->standin.loop);
+  json_object_put (body);
+  standin_send_json (request, 200, json_object_new_object ());
+  if (crash_ms > 0)
+    engine_crash (engine, crash_ms);
+}
+
+/// Exports or imports the cache of a chat: GET or PUT /kv/CHAT.
+static void
+move_cache (Engine *engine, h2o_req_t *request)
+{
+  char path[64] = "";
+  uint64_t chat;
+
+  (void) snprintf (path, sizeof path, "%.*s", (int) request->path.len, request->path.base);
+  chat = strtoull (path + 4, NULL, 16);
+  if (standin_matches (request, "PUT", "/"))
+    {
+      json_object *body = standin_body (request);
+
+      engine_cache_import (&engine->cache, chat, body);
+      json_object_put (body);
+      standin_send_json (request, 200, json_object_new_object ());
+      return;
+    }
+  standin_send_json (request, 200, engine_cache_export (&engine->cache, chat));
+}
+
+static void
+on_request (void *context, h2o_req_t *request)
+{
+  Engine *engine = context;
+
+  if (standin_matches (request, "POST", "/control"))
+    control (engine, request);
+  else if (uv_now (engine->standin.loop) < engine->down_until_ms)
+    {
+      standin_break (request);
+      tt_http_server_send (request, 503, "text/plain", "", 0);
+    }
+  else if (standin_matches (request, "POST", CHAT_PATH))
+    engine_job_add (engine, request);
+  else if (standin_matches (request, "GET", "/load"))
+    send_load (engine, request);
+  else if (standin_matches (request, "POST", "/order"))
+    take_order (engine, request);
+  else if (standin_matches (request, "GET", "/kv/") || standin_matches (request, "PUT", "/kv/"))
+    move_cache (engine, request);
+  else
+    standin_send_json (request, 404, json_object_new_object ());
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  Engine *engine = timer->data;
+
+  if (engine->ordered != NULL && uv_now (timer->loop) >= engine->order_due_ms)
+    {
+      json_object_put (engine->role);
+      engine->role = engine->ordered;
+      engine->ordered = NULL;
+    }
+  engine_job_run (engine);
+}
+
+static void
+on_report (uv_timer_t *timer)
+{
+  Engine *engine = timer->data;
+
+  engine->reported_running = engine->running.count;
+  engine->reported_waiting = engine->waiting.count;
+}
+
+int
+main (int argc, char **argv)
+{
+  long port = 0;
+  long lifetime_s = 60;
+  long cache_tokens = 100000;
+  long gap = 7;
+  Engine engine = { .batch_limit = 8,
+                    .token_ms = 10,
+                    .prefill_us = 50,
+                    .max_tokens = 16,
+                    .load_lag_ms = 500,
+                    .fencing = 1,
+                    .slow = 1 };
+  const StandinOption options[] = {
+    { "port", &port, "port on 127.0.0.1" },
+    { "lifetime", &lifetime_s, "seconds until the program ends" },
+    { "batch", &engine.batch_limit, "requests that run at once" },
+    { "token-ms", &engine.token_ms, "time of a token" },
+    { "prefill-us", &engine.prefill_us, "time of a prompt token that is not cached" },
+    { "max-tokens", &engine.max_tokens, "tokens of an answer without a stated limit" },
+    { "cache-tokens", &cache_tokens, "size of the prefix cache" },
+    { "load-lag-ms", &engine.load_lag_ms, "age of load reports" },
+    { "event-gap", &gap, "each cache event divisible by this is lost; 0 = none" },
+    { "fencing", &engine.fencing, "1 = refuses orders with an old number" },
+  };
+
+  if (!standin_options (argc, argv, options, sizeof options / sizeof options[0]))
+    return 1;
+  engine_cache_init (&engine.cache, (uint64_t) cache_tokens, (unsigned) gap);
+  tt_list_init (&engine.running);
+  tt_list_init (&engine.waiting);
+  if (standin_open (&engine.standin, port, &engine, on_request) != 0)
+    return 1;
+  engine.role = json_tokener_parse ("{\"model\":\"\",\"role\":\"serve\"}");
+  (void) uv_timer_init (engine.standin.loop, &engine.tick);
+  (void) uv_timer_init (engine.standin.loop, &engine.report);
+  engine.tick.data = &engine;
+  engine.report.data = &engine;
+  (void) uv_timer_start (&engine.tick, on_tick, 1, 1);
+  (void) uv_timer_start (&engine.report, on_report, (uint64_t) engine.load_lag_ms,
+                         (uint64_t) engine.load_lag_ms);
+  return standin_serve (&engine.standin, lifetime_s);
+}
