--- a/src/tarragontrack/io/backend_answer.c
+++ b/src/tarragontrack/io/backend_answer.c
@@ -206,7 +206,7 @@
   if (error->code == TT_OK && (!attempt->events || attempt->scan.done))
     finish_attempt (attempt);
   else if (error->code == TT_OK)
-    stop_attempt (attempt, TT_E_CRASHED, "the stream ended before [DONE]");
+    stop_attempt (attempt, TT_E_CRASHED, "the engine ended the stream before its end mark");
   else
     {
       attempt->sent = attempt->sent || error->code != TT_E_UNAVAILABLE;
--- /dev/null
+++ b/src/tarragontrack/io/pump.c
@@ -0,0 +1,74 @@
+#include "tarragontrack/io/pump.h"
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/io/clock.h"
+#include <stdlib.h>
+
+typedef struct
+{
+  TtLink link; ///< on TtPump.kept
+  TtEvent event;
+} KeptEvent;
+
+void
+tt_pump_init (TtPump *pump, uv_loop_t *loop, TtBoard *board, void *context,
+              void (*execute) (void *context, TtAction *action, int64_t now_us))
+{
+  *pump = (TtPump){ .context = context, .execute = execute };
+  pump->front = (TtFront){ .loop = loop, .board = board, .context = pump, .post = tt_pump_post };
+  tt_list_init (&pump->kept);
+}
+
+/// One step and its actions.
+static void
+step_board (TtPump *pump, const TtEvent *event)
+{
+  TtBoard *board = pump->front.board;
+  int64_t now_us = tt_clock_now_us ();
+  TtAction *action;
+
+  tt_board_step (board, event, now_us);
+  // Actions point to records that are valid until the next step.
+  while ((action = tt_board_take (board)) != NULL)
+    {
+      pump->execute (pump->context, action, now_us);
+      tt_board_release (board, action);
+    }
+}
+
+void
+tt_pump_post (void *context, const TtEvent *event)
+{
+  TtPump *pump = context;
+  TtLink *link;
+
+  if (pump->stepping)
+    {
+      KeptEvent *kept = malloc (sizeof *kept);
+
+      if (kept == NULL)
+        return;
+      kept->event = *event;
+      tt_link_init (&kept->link);
+      tt_list_append (&pump->kept, &kept->link);
+      return;
+    }
+  pump->stepping = true;
+  step_board (pump, event);
+  while ((link = tt_list_pop (&pump->kept)) != NULL)
+    {
+      KeptEvent *kept = TT_CONTAINER_OF (link, KeptEvent, link);
+
+      step_board (pump, &kept->event);
+      free (kept);
+    }
+  pump->stepping = false;
+}
+
+void
+tt_pump_close (TtPump *pump)
+{
+  TtLink *link;
+
+  while ((link = tt_list_pop (&pump->kept)) != NULL)
+    free (TT_CONTAINER_OF (link, KeptEvent, link));
+}
