--- a/src/tarragontrack/io/log.c
+++ b/src/tarragontrack/io/log.c
@@ -70,7 +70,17 @@
   return line;
 }
 
+/// Writes a line without the appender's name, which log4c's own stream type puts before it.
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void) appender;
+  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
 static const log4c_layout_type_t line_layout = { "tarragontrack_line", format_line };
+static const log4c_appender_type_t line_appender
+    = { .name = "tarragontrack_stderr", .append = append_line };
 
 int
 tt_log_open (TtLogLevel level)
@@ -82,13 +92,14 @@
   if (log4c_init () != 0)
     return TT_E_INTERNAL;
   (void) log4c_layout_type_set (&line_layout);
-  appender = log4c_appender_get ("stderr");
+  (void) log4c_appender_type_set (&line_appender);
+  appender = log4c_appender_get ("tarragontrack_stderr");
   layout = log4c_layout_get ("tarragontrack_line");
   category = log4c_category_get (CATEGORY);
   if (appender == NULL || layout == NULL || category == NULL)
     return TT_E_INTERNAL;
   (void) log4c_layout_set_type (layout, &line_layout);
-  (void) log4c_appender_set_type (appender, log4c_appender_type_get ("stream"));
+  (void) log4c_appender_set_type (appender, &line_appender);
   (void) log4c_appender_set_layout (appender, layout);
   (void) log4c_category_set_appender (category, appender);
   (void) log4c_category_set_additivity (category, 0);
--- /dev/null
+++ b/src/tarragontrack/io/router.c
@@ -0,0 +1,333 @@
+#include "tarragontrack/io/router.h"
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/control/controllers.h"
+#include "tarragontrack/io/backend_client.h"
+#include "tarragontrack/io/caller_server.h"
+#include "tarragontrack/io/clock.h"
+#include "tarragontrack/io/http_client.h"
+#include "tarragontrack/io/log.h"
+#include "tarragontrack/io/operator_server.h"
+#include "tarragontrack/io/peer_socket.h"
+#include "tarragontrack/io/platform_client.h"
+#include "tarragontrack/io/pump.h"
+#include "tarragontrack/io/router_options.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#define FLUSH_LIMIT_US (5 * TT_SECOND_US) ///< for the last answers after the board's drain
+#define CLOSE_ROUNDS 16
+
+struct TtRouter
+{
+  const TtSettings *settings;
+  const char *path; ///< of the settings file
+  uv_loop_t loop;
+  TtBoard *board;
+  TtPump pump;
+  TtHttpClient *http;
+  TtCallerServer *callers;
+  TtBackendClient *backends;
+  TtOperatorServer *operators;
+  TtPlatformClient *platform;
+  TtPeerSocket *peers;
+  TtPeerSocketStats peer_stats; ///< as far as the board's counters have them
+  uv_timer_t tick;
+  uv_signal_t signals[3];
+  int64_t exit_at_us; ///< when the loop ends at the latest; 0 = the board has not drained yet
+};
+
+/// Executes one action of the board.
+static void
+execute (void *context, TtAction *action, int64_t now_us)
+{
+  TtRouter *router = context;
+
+  switch (action->type)
+    {
+    case TT_ACTION_DISPATCH:
+      tt_operator_server_note (router->operators, &action->attempt, now_us);
+      tt_backend_client_dispatch (router->backends, &action->attempt);
+      break;
+    case TT_ACTION_RELAY:
+      tt_backend_client_relay (router->backends, &action->attempt);
+      break;
+    case TT_ACTION_CANCEL:
+      tt_backend_client_cancel (router->backends, &action->attempt);
+      break;
+    case TT_ACTION_REPLY:
+      tt_caller_server_reply (router->callers, &action->reply);
+      break;
+    case TT_ACTION_PLATFORM:
+      tt_platform_client_call (router->platform, &action->platform);
+      break;
+    case TT_ACTION_PEER:
+      // A message that cannot be sent is lost and counted, as any message may be.
+      (void) tt_peer_socket_send (router->peers, action->peer.address, action->peer.port,
+                                  action->peer.message);
+      break;
+    case TT_ACTION_ORDER:
+      tt_backend_client_order (router->backends, &action->order);
+      break;
+    case TT_ACTION_KV_MOVE:
+      tt_backend_client_move (router->backends, &action->kv);
+      break;
+    case TT_ACTION_LOG:
+      tt_log_write (action->log.event, action->log.text);
+      break;
+    case TT_ACTION_READY:
+      if (action->ready)
+        tt_log_write (TT_LOG_READY, router->settings->name);
+      break;
+    case TT_ACTION_EXIT:
+      router->exit_at_us = now_us + FLUSH_LIMIT_US;
+      break;
+    }
+}
+
+static void
+on_message (void *context, const TtPeerMessage *message)
+{
+  TtEvent event = { .type = TT_EVENT_PEER, .peer = message };
+
+  tt_pump_post (&((TtRouter *) context)->pump, &event);
+}
+
+static void
+on_refused (void *context, const TtError *error)
+{
+  char text[TT_LOG_TEXT_MAX];
+
+  (void) context;
+  tt_error_format (error, text, sizeof text);
+  tt_log_write (error->code == TT_E_VERSION ? TT_LOG_PEER_VERSION : TT_LOG_PEER_REFUSED, text);
+}
+
+/// Adds the peer socket's counts to the board's counters.
+static void
+count_messages (TtRouter *router)
+{
+  const TtPeerSocketStats *now = tt_peer_socket_stats (router->peers);
+  TtPeerSocketStats *last = &router->peer_stats;
+
+  tt_board_count (router->board, TT_COUNT_PEER_SENT, now->sent - last->sent);
+  tt_board_count (router->board, TT_COUNT_PEER_SENT_BYTES, now->sent_bytes - last->sent_bytes);
+  tt_board_count (router->board, TT_COUNT_PEER_RECEIVED, now->received - last->received);
+  tt_board_count (router->board, TT_COUNT_PEER_RECEIVED_BYTES,
+                  now->received_bytes - last->received_bytes);
+  tt_board_count (router->board, TT_COUNT_PEER_REFUSED, now->refused - last->refused);
+  *last = *now;
+}
+
+/// Passes an answer of the platform to the board.
+static void
+on_event (void *context, const TtEvent *event)
+{
+  tt_pump_post (&((TtRouter *) context)->pump, event);
+}
+
+static void
+on_writable (void *context, uint64_t request_id)
+{
+  tt_backend_client_resume (((TtRouter *) context)->backends, request_id);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  TtRouter *router = timer->data;
+  TtEvent event = { .type = TT_EVENT_TICK };
+  int64_t now_us = tt_clock_now_us ();
+
+  tt_pump_post (&router->pump, &event);
+  tt_backend_client_poll (router->backends, now_us);
+  count_messages (router);
+  if (router->board->drain.state >= TT_DRAIN_CLOSING)
+    tt_caller_server_close (router->callers);
+  if (router->exit_at_us != 0
+      && (tt_caller_server_open (router->callers) == 0 || now_us >= router->exit_at_us))
+    uv_stop (&router->loop);
+}
+
+/// Reads the certificate and the keys for other daemons again; the old ones stay in use on failure.
+static int
+reload_keys (TtRouter *router, TtError *error)
+{
+  TtSettings *settings = malloc (sizeof *settings);
+  int code;
+
+  if (settings == NULL)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, router->path, "settings");
+  code = tt_settings_load (router->path, settings, error);
+  if (code == TT_OK)
+    code = tt_caller_server_reload (router->callers, error);
+  if (code == TT_OK && settings->curve.enabled)
+    code = tt_peer_socket_set_keys (router->peers, &settings->curve);
+  free (settings);
+  return code;
+}
+
+static void
+on_signal (uv_signal_t *handle, int number)
+{
+  TtRouter *router = handle->data;
+  TtEvent event = { .type = TT_EVENT_DRAIN };
+  TtError error = { 0 };
+  char text[TT_LOG_TEXT_MAX];
+
+  if (number != SIGHUP)
+    tt_pump_post (&router->pump, &event);
+  else if (reload_keys (router, &error) < 0)
+    {
+      tt_error_format (&error, text, sizeof text);
+      tt_log_write (TT_LOG_SETTINGS_REFUSED, text);
+    }
+  else
+    tt_log_write (TT_LOG_KEYS_RELOADED, router->settings->name);
+}
+
+/// Makes the board with all controllers.
+static int
+make_board (TtRouter *router, TtError *error)
+{
+  TtBoardConfig config;
+
+  tt_router_board_config (router->settings, &config);
+  config.incarnation = tt_clock_wall_us ();
+  if (getrandom (config.seed, sizeof config.seed, 0) != (ssize_t) sizeof config.seed)
+    return tt_error_set (error, TT_E_INTERNAL, TT_STEP_SETTINGS, "getrandom",
+                         "the system gives no random numbers");
+  router->board = tt_board_new (&config);
+  if (router->board == NULL || tt_controllers_add_all (router->board) < 0)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, config.name, "board");
+  tt_pump_init (&router->pump, &router->loop, router->board, router, execute);
+  return TT_OK;
+}
+
+/// Makes the servers and sockets.
+static int
+open_servers (TtRouter *router, TtError *error)
+{
+  const TtFront *front = &router->pump.front;
+  TtCallerOptions callers = { .context = router, .on_writable = on_writable };
+  TtHttpServerOptions operators;
+
+  tt_router_caller_options (router->settings, &callers);
+  tt_router_operator_options (router->settings, &operators);
+  router->callers = tt_caller_server_new (front, &callers, error);
+  if (router->callers == NULL)
+    return error->code;
+  router->operators = tt_operator_server_new (front, &operators, error);
+  return router->operators != NULL ? TT_OK : error->code;
+}
+
+/// Makes the clients.
+static int
+open_clients (TtRouter *router, TtError *error)
+{
+  const TtFront *front = &router->pump.front;
+  TtBackendOptions backends;
+  TtPlatformClientOptions platform = { .context = router, .on_event = on_event };
+  TtPeerSocketOptions peers = { .loop = &router->loop,
+                                .fleet = router->settings->fleet,
+                                .address = router->settings->peer.address,
+                                .port = router->settings->peer.port,
+                                .keys = &router->settings->curve,
+                                .context = router,
+                                .on_message = on_message,
+                                .on_refused = on_refused };
+
+  router->http = tt_http_client_new (&router->loop);
+  if (router->http == NULL)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, "", "HTTP client");
+  tt_router_backend_options (router->settings, &backends);
+  backends.http = router->http;
+  backends.callers = router->callers;
+  backends.seed = router->board->config.seed[0];
+  router->backends = tt_backend_client_new (front, &backends);
+  tt_router_platform_options (router->settings, &platform);
+  router->platform = tt_platform_client_new (&router->loop, router->http, &platform);
+  if (router->backends == NULL || router->platform == NULL)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, "", "clients");
+  return tt_peer_socket_new (&peers, &router->peers, error);
+}
+
+/// Starts the tick and the signals.
+static void
+start_loop (TtRouter *router)
+{
+  const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+  (void) signal (SIGPIPE, SIG_IGN); // a closed connection is seen as a failed write
+  (void) uv_timer_init (&router->loop, &router->tick);
+  router->tick.data = router;
+  (void) uv_timer_start (&router->tick, on_tick, 0, TT_TICK_US / TT_MILLISECOND_US);
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      (void) uv_signal_init (&router->loop, &router->signals[i]);
+      router->signals[i].data = router;
+      (void) uv_signal_start (&router->signals[i], on_signal, numbers[i]);
+    }
+}
+
+TtRouter *
+tt_router_new (const TtSettings *settings, const char *path, TtError *error)
+{
+  TtRouter *router = calloc (1, sizeof *router);
+  int code;
+
+  if (router == NULL)
+    {
+      (void) tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, "", "router");
+      return NULL;
+    }
+  router->settings = settings;
+  router->path = path;
+  (void) uv_loop_init (&router->loop);
+  code = make_board (router, error);
+  if (code == TT_OK)
+    code = open_servers (router, error);
+  if (code == TT_OK)
+    code = open_clients (router, error);
+  if (code < 0)
+    {
+      free (router); // the process ends; the loop's handles go with it
+      return NULL;
+    }
+  start_loop (router);
+  return router;
+}
+
+void
+tt_router_run (TtRouter *router)
+{
+  tt_log_write (TT_LOG_STARTED, router->settings->name);
+  (void) uv_run (&router->loop, UV_RUN_DEFAULT);
+  tt_log_write (TT_LOG_STOPPED, router->settings->name);
+}
+
+void
+tt_router_free (TtRouter *router)
+{
+  if (router == NULL)
+    return;
+  tt_caller_server_close (router->callers);
+  tt_operator_server_close (router->operators);
+  tt_platform_client_free (router->platform);
+  tt_peer_socket_free (router->peers);
+  tt_http_client_free (router->http);
+  uv_close ((uv_handle_t *) &router->tick, NULL);
+  for (size_t i = 0; i < sizeof router->signals / sizeof router->signals[0]; i++)
+    uv_close ((uv_handle_t *) &router->signals[i], NULL);
+  // Lets the loop close the handles. Connections that callers keep open may outlast this.
+  for (int i = 0; i < CLOSE_ROUNDS; i++)
+    (void) uv_run (&router->loop, UV_RUN_NOWAIT);
+  tt_backend_client_free (router->backends);
+  tt_caller_server_free (router->callers);
+  tt_operator_server_free (router->operators);
+  tt_pump_close (&router->pump);
+  tt_board_free (router->board);
+  free (router);
+}
--- /dev/null
+++ b/src/tarragontrack/io/router_options.c
@@ -0,0 +1,81 @@
+#include "tarragontrack/io/router_options.h"
+#include <stdio.h>
+#include <string.h>
+
+/// Caller connections for each request that the daemon may hold: idle ones and HTTP/1.1 pools.
+#define CONNECTIONS_PER_REQUEST 2
+/// An answer of a plain service, or a plain chat answer, is kept up to this size until it is
+/// whole, so that it can be tried again elsewhere.
+#define ANSWER_BYTES (1 << 20)
+/// Bytes of an answer kept for a slow caller before its engine is paused.
+#define BUFFER_BYTES (256 << 10)
+#define CONNECT_TIMEOUT_MS 1000 ///< failure domains of a deployment are very close to each other
+#define LOAD_PERIOD_MS 1000
+#define OPERATOR_CONNECTIONS 64
+#define OPERATOR_BODY_BYTES 1024
+
+static void
+copy_text (char *target, size_t size, const char *text)
+{
+  (void) snprintf (target, size, "%s", text);
+}
+
+void
+tt_router_board_config (const TtSettings *settings, TtBoardConfig *config)
+{
+  memset (config, 0, sizeof *config);
+  copy_text (config->fleet, sizeof config->fleet, settings->fleet);
+  copy_text (config->name, sizeof config->name, settings->name);
+  copy_text (config->domain, sizeof config->domain, settings->domain);
+  copy_text (config->region, sizeof config->region, settings->region);
+  copy_text (config->address, sizeof config->address, settings->peer.address);
+  config->peer_port = settings->peer.port;
+  config->max_requests = settings->max_requests;
+  config->max_attempts = settings->max_attempts;
+  config->max_accounts = settings->max_accounts;
+  config->drain_announce_ms = settings->drain_announce_ms;
+  config->drain_limit_ms = settings->drain_limit_ms;
+}
+
+void
+tt_router_caller_options (const TtSettings *settings, TtCallerOptions *options)
+{
+  TtHttpServerOptions *http = &options->http;
+
+  http->address = settings->caller.address;
+  http->port = settings->caller.port;
+  http->certificate_file
+      = settings->certificate_file[0] != '\0' ? settings->certificate_file : NULL;
+  http->key_file = settings->key_file;
+  http->max_connections = CONNECTIONS_PER_REQUEST * settings->max_requests;
+  http->max_body_bytes = settings->max_body_bytes;
+  http->max_header_bytes = settings->max_header_bytes;
+  http->read_timeout_ms = settings->read_timeout_ms;
+  options->buffer_bytes = BUFFER_BYTES;
+}
+
+void
+tt_router_operator_options (const TtSettings *settings, TtHttpServerOptions *options)
+{
+  *options = (TtHttpServerOptions){ .address = settings->operators.address,
+                                    .port = settings->operators.port,
+                                    .max_connections = OPERATOR_CONNECTIONS,
+                                    .max_body_bytes = OPERATOR_BODY_BYTES,
+                                    .max_header_bytes = settings->max_header_bytes,
+                                    .read_timeout_ms = settings->read_timeout_ms };
+}
+
+void
+tt_router_backend_options (const TtSettings *settings, TtBackendOptions *options)
+{
+  (void) settings;
+  *options = (TtBackendOptions){ .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                 .answer_bytes = ANSWER_BYTES,
+                                 .load_period_ms = LOAD_PERIOD_MS };
+}
+
+void
+tt_router_platform_options (const TtSettings *settings, TtPlatformClientOptions *options)
+{
+  options->url = settings->platform_url;
+}
--- /dev/null
+++ b/src/tarragontrackd/main.c
@@ -0,0 +1,115 @@
+#include "tarragontrack/board/action_defs.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/io/log.h"
+#include "tarragontrack/io/router.h"
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#ifndef TT_VERSION
+#define TT_VERSION "unknown"
+#endif
+
+enum
+{
+  EXIT_STOPPED = 0,
+  EXIT_SETTINGS = 1,
+  EXIT_START = 2,
+  EXIT_USAGE = 3
+};
+
+static const char description[]
+    = "Exit codes:\n"
+      "  0  stopped after a complete drain, or the settings are right (--check-settings)\n"
+      "  1  the settings file cannot be read or is wrong\n"
+      "  2  the daemon could not start, for example because a port is in use\n"
+      "  3  wrong command line\n"
+      "\n"
+      "SIGTERM and SIGINT drain the daemon; SIGHUP reads the certificate\n"
+      "and the keys for other daemons again.\n";
+
+/// Prints an error on standard error.
+static void
+print_error (const TtError *error)
+{
+  char text[TT_LOG_TEXT_MAX];
+
+  tt_error_format (error, text, sizeof text);
+  (void) fprintf (stderr, "tarragontrackd: %s\n", text);
+}
+
+/// Runs the daemon with checked settings.
+static int
+run_daemon (const TtSettings *settings, const char *path)
+{
+  TtError error = { 0 };
+  TtRouter *router;
+  char text[TT_LOG_TEXT_MAX];
+
+  if (tt_log_open (TT_LEVEL_INFO) < 0)
+    {
+      (void) fprintf (stderr, "tarragontrackd: the log cannot be opened\n");
+      return EXIT_START;
+    }
+  router = tt_router_new (settings, path, &error);
+  if (router == NULL)
+    {
+      tt_error_format (&error, text, sizeof text);
+      tt_log_write (TT_LOG_LISTEN_FAILED, text);
+      tt_log_close ();
+      return EXIT_START;
+    }
+  tt_router_run (router);
+  tt_router_free (router);
+  tt_log_close ();
+  return EXIT_STOPPED;
+}
+
+int
+main (int argc, char **argv)
+{
+  gchar *path = NULL;
+  gboolean check = FALSE;
+  gboolean version = FALSE;
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path, "Settings file (JSON with comments)",
+      "FILE" },
+    { "check-settings", 'c', 0, G_OPTION_ARG_NONE, &check, "Check the settings file and exit",
+      NULL },
+    { "version", 'v', 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- request router");
+  GError *failure = NULL;
+  static TtSettings settings;
+  TtError error = { 0 };
+  gboolean parsed;
+  int code;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_description (context, description);
+  parsed = g_option_context_parse (context, &argc, &argv, &failure);
+  g_option_context_free (context);
+  if (version)
+    {
+      (void) printf ("tarragontrackd %s\n", TT_VERSION);
+      return EXIT_STOPPED;
+    }
+  if (!parsed || path == NULL || argc > 1)
+    {
+      (void) fprintf (stderr, "tarragontrackd: %s; see --help\n",
+                      failure != NULL ? failure->message : "expected --settings FILE");
+      g_clear_error (&failure);
+      g_free (path);
+      return EXIT_USAGE;
+    }
+  if (tt_settings_load (path, &settings, &error) < 0)
+    {
+      print_error (&error);
+      g_free (path);
+      return EXIT_SETTINGS;
+    }
+  code = check ? EXIT_STOPPED : run_daemon (&settings, path);
+  g_free (path);
+  return code;
+}
--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -1,8 +1,8 @@
-#include "tarragontrack/io/backend_client.h"
 #include "support/unit.h"
 #include "support/uv_peer.h"
 #include "support/world.h"
 #include "tarragontrack/board/backend.h"
+#include "tarragontrack/io/backend_client.h"
 #include "tarragontrack/io/clock.h"
 #include "tarragontrack/io/pump.h"
 #include <stdio.h>
--- /dev/null
+++ b/tools/smoke.sh
@@ -0,0 +1,149 @@
+#!/bin/sh
+# End-to-end run of real processes on loopback: 1 platform, 2 engines, 1 service, 2 daemons. Checks
+# that answers are whole, also while a daemon drains. Usage: smoke.sh [BUILD] [BASE-PORT]
+set -eu
+cd "$(dirname "$0")/.."
+build=${1:-build}
+base=${2:-18400}
+limit_s=60 # for each condition that is waited for
+lifetime_s=300
+folder=$(mktemp -d)
+pids=''
+cleanup () {
+  for pid in $pids; do kill "$pid" 2> /dev/null || true; done
+  for pid in $pids; do wait "$pid" 2> /dev/null || true; done
+  [ -n "${SMOKE_KEEP:-}" ] || rm -rf "$folder"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+platform=$base engine0=$((base + 1)) engine1=$((base + 2)) service=$((base + 3))
+fail () {
+  echo "smoke: FAILED: $*"
+  tail -n 20 "$folder"/*.log
+  exit 1
+}
+# wait_for TEXT COMMAND...: until the command succeeds
+wait_for () {
+  text=$1
+  shift
+  tries=$((limit_s * 20))
+  until "$@" > /dev/null 2>&1; do
+    tries=$((tries - 1))
+    [ "$tries" -gt 0 ] || fail "$text within $limit_s s"
+    sleep 0.05
+  done
+}
+call () { curl -s -m "$limit_s" --noproxy '*' "$@"; }
+start () {
+  name=$1
+  shift
+  "$@" > "$folder/$name.log" 2>&1 &
+  pids="$pids $!"
+}
+
+start platform "$build/standin_platform" --port "$platform" --lifetime "$lifetime_s"
+for port in $engine0 $engine1; do
+  start "engine-$port" "$build/standin_engine" --port "$port" --lifetime "$lifetime_s" --token-ms 10
+done
+start service "$build/standin_service" --port "$service" --lifetime "$lifetime_s"
+wait_for 'the platform answers' call -f "http://127.0.0.1:$platform/control/stats"
+
+host () {
+  printf '{"name":"%s","address":"127.0.0.1","port":%d,"domain":"z1","service":"%s",' "$1" "$2" "$3"
+  printf '"weight":1,"batch_limit":8,"fencing":true}'
+}
+printf '{"hosts":[%s,%s,%s]}' "$(host engine-0 "$engine0" chat)" \
+  "$(host engine-1 "$engine1" chat)" "$(host ledger-0 "$service" ledger)" > "$folder/hosts.json"
+call -f -X POST --data-binary "@$folder/hosts.json" \
+  "http://127.0.0.1:$platform/control/hosts" > /dev/null || fail 'the host list is set'
+cat > "$folder/document.json" << 'END'
+{ // Team of the smoke test.
+  "team": "demo", "schema": 1,
+  "services": [ { "name": "chat", "type": "model" },
+                { "name": "ledger", "type": "plain", "path_prefix": "/ledger", "repeatable": true } ],
+  "accounts": [ { "name": "small" } ] }
+END
+text=$(sed -e 's/\\/\\\\/g' -e 's/"/\\"/g' "$folder/document.json" | awk '{printf "%s\\n", $0}')
+printf '{"team":"demo","author":"smoke","staged_s":1,"text":"%s"}' "$text" > "$folder/object.json"
+hash=$(sha256sum "$folder/object.json" | cut -d' ' -f1)
+put () { call -f -X PUT -H 'If-Match: 0' --data-binary "@$2" "http://127.0.0.1:$platform/objects/$1"; }
+put "documents/$hash" "$folder/object.json" > /dev/null || fail 'the document is written'
+printf '{"generation":1,"epoch":1,"teams":[{"team":"demo","epoch":1,"hash":"%s"}]}' "$hash" \
+  > "$folder/head.json"
+put config/head "$folder/head.json" > /dev/null || fail 'the head is written'
+
+for n in 1 2; do
+  port=$((base + 10 * n))
+  cat > "$folder/d$n.json" << END
+{ "fleet": "smoke", "name": "d$n", "domain": "z1", "region": "r1",
+  "caller": { "address": "127.0.0.1", "port": $port },
+  "operator": { "address": "127.0.0.1", "port": $((port + 1)) },
+  "peer": { "address": "127.0.0.1", "port": $((port + 2)) },
+  "platform": { "url": "http://127.0.0.1:$platform" },
+  "limits": { "body_bytes": 65536 },
+  "drain": { "announce_ms": 300 } }
+END
+  "$build/tarragontrackd" --check-settings --settings "$folder/d$n.json" || fail 'settings are right'
+  start "d$n" "$build/tarragontrackd" --settings "$folder/d$n.json"
+  eval "daemon$n=\$!"
+done
+d1="http://127.0.0.1:$((base + 10))"
+d2="http://127.0.0.1:$((base + 20))"
+for n in 1 2; do
+  wait_for "daemon $n is ready" call -f "http://127.0.0.1:$((base + 10 * n + 1))/readyz"
+done
+
+has () { grep -q "$2" "$folder/$1" || { cat "$folder/$1"; fail "$3"; }; }
+chat () {
+  printf '{"model":"chat","stream":%s,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}' \
+    "$1" "$2" "$3"
+}
+call -i -H 'X-Client-Account: small' -d "$(chat false 8 hello)" "$d1/v1/chat/completions" \
+  > "$folder/plain"
+has plain '^HTTP/1.1 200' 'a plain chat is answered'
+has plain '"completion_tokens":8' 'a plain chat is whole'
+has plain '^x-outcome: complete' 'a plain chat has its outcome'
+
+call -i -H 'X-Client-Account: small' -d "$(chat true 20 hello)" "$d2/v1/chat/completions" \
+  > "$folder/stream"
+has stream 'data: \[DONE\]' 'a stream ends with [DONE]'
+[ "$(grep -c '"content"' "$folder/stream")" = 20 ] || fail 'a stream has all its tokens'
+request=$(tr -d '\r' < "$folder/stream" | awk 'tolower($1) == "x-request-id:" {print $2}')
+call "http://127.0.0.1:$((base + 21))/explain/$request" > "$folder/explain"
+has explain '"backend": "engine-' 'a placement is explained'
+
+call -i -X POST -H 'X-Client-Account: small' -H 'Idempotency-Key: key-1' -d '{"award":1}' \
+  "$d1/ledger/awards" > "$folder/service"
+has service '"result":"executed"' 'a plain service is called'
+call "http://127.0.0.1:$service/executions" > "$folder/executions"
+has executions '"total":1' 'a plain service runs a call once'
+
+call -i -H 'X-Client-Account: small' -d '{"model":' "$d1/v1/chat/completions" > "$folder/bad"
+has bad '^HTTP/1.1 400' 'a wrong request is refused'
+has bad '^x-outcome: not-run' 'a refused request did not run'
+head -c 100000 /dev/zero | tr '\0' ' ' > "$folder/large.json"
+call -i -H 'Expect:' --data-binary "@$folder/large.json" "$d1/v1/chat/completions" \
+  > "$folder/large"
+has large '^HTTP/1.1 413' 'an oversized request is refused'
+call "http://127.0.0.1:$((base + 11))/metrics" > "$folder/metrics"
+has metrics '^tarragontrack_requests_complete_total 2$' 'requests are counted'
+
+# Drain in the middle of a stream: its first token has arrived, most of it has not.
+call -N -H 'X-Client-Account: small' -d "$(chat true 200 drain)" "$d1/v1/chat/completions" \
+  > "$folder/drain" &
+stream=$!
+pids="$pids $stream"
+wait_for 'a stream begins' grep -q '"content"' "$folder/drain"
+kill -TERM "$daemon1"
+wait_for 'readiness is false' sh -c \
+  "[ \"\$(curl -s --noproxy '*' -o /dev/null -w '%{http_code}' http://127.0.0.1:$((base + 11))/readyz)\" = 503 ]"
+! grep -q 'DONE' "$folder/drain" || fail 'the daemon drains while the stream runs'
+wait "$stream" || fail 'the stream of a draining daemon ends well'
+has drain 'data: \[DONE\]' 'the stream of a draining daemon is whole'
+[ "$(grep -c '"content"' "$folder/drain")" = 200 ] || fail 'a draining daemon loses no token'
+wait "$daemon1" || fail 'a drained daemon exits with 0'
+call -i -H 'X-Client-Account: small' -d "$(chat false 4 after)" "$d2/v1/chat/completions" \
+  > "$folder/after"
+has after '^HTTP/1.1 200' 'the other daemon goes on'
+echo 'smoke: passed'
