fix(io): probe callers' connections with TCP keepalive

Cause: h2o waits without limit for a peer that vanished while TLS closes. Change: keepalive after 60 s. Smoke test passes twice on two port ranges.

--- a/src/tarragontrack/io/http_server.c
+++ b/src/tarragontrack/io/http_server.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define BACKLOG 512
+#define KEEPALIVE_S 60
 #define CLOSE_ROUNDS 8 ///< turns of the loop in which handles are closed
 
 struct TtHttpServer
@@ -95,6 +96,8 @@
       return;
     }
   (void) uv_tcp_nodelay (&connection->tcp, 1);
+  // h2o waits without limit for the end of a TLS connection whose peer has vanished.
+  (void) uv_tcp_keepalive (&connection->tcp, 1, KEEPALIVE_S);
   socket = h2o_uv_socket_create ((uv_stream_t *) &connection->tcp, on_connection_closed);
   h2o_accept (&server->accept, socket);
 }
