--- a/src/tarragontrack/io/http_server.c
+++ b/src/tarragontrack/io/http_server.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define BACKLOG 512
+#define KEEPALIVE_S 60
+#define CLOSE_ROUNDS 8 ///< turns of the loop in which handles are closed
 
 struct TtHttpServer
 {
@@ -94,6 +96,8 @@
       return;
     }
   (void) uv_tcp_nodelay (&connection->tcp, 1);
+  // h2o waits without limit for the end of a TLS connection whose peer has vanished.
+  (void) uv_tcp_keepalive (&connection->tcp, 1, KEEPALIVE_S);
   socket = h2o_uv_socket_create ((uv_stream_t *) &connection->tcp, on_connection_closed);
   h2o_accept (&server->accept, socket);
 }
@@ -227,11 +231,29 @@
   return server->connections;
 }
 
+/// Lets the loop close handles.
+static void
+run_rounds (const TtHttpServer *server)
+{
+  for (int i = 0; i < CLOSE_ROUNDS; i++)
+    (void) uv_run (server->context.loop, UV_RUN_NOWAIT);
+}
+
 void
 tt_http_server_free (TtHttpServer *server)
 {
   if (server == NULL)
     return;
+  tt_http_server_close (server);
+  run_rounds (server);
+  // h2o cannot take back its context from open connections. The process ends with them.
+  if (server->connections > 0)
+    return;
+  // h2o's graceful shutdown leaves its timer linked, which the disposal asserts against.
+  h2o_timeout_unlink (&server->context.http2._graceful_shutdown_timeout);
+  h2o_context_dispose (&server->context);
+  h2o_config_dispose (&server->config);
+  run_rounds (server);
   if (server->accept.ssl_ctx != NULL)
     SSL_CTX_free (server->accept.ssl_ctx);
   free (server);
