feat(io): outcome queries, fresh connections for work that runs once

Cause: callers could not ask for a recorded outcome; a reused connection that closes while a grant is on its way left its outcome unknown.

--- a/src/tarragontrack/codec/chat.c
+++ b/src/tarragontrack/codec/chat.c
@@ -43,6 +43,12 @@
   return TT_OK;
 }
 
+TtId128
+tt_chat_idempotency_key (const char *account, const char *key)
+{
+  return tt_hash_id128 (tt_hash_string (account != NULL ? account : ""), key, strlen (key));
+}
+
 /// Reads the headers that all requests have in common.
 static int
 read_headers (const TtCallerHeaders *headers, TtRequestSpec *spec, TtError *error)
@@ -60,8 +66,7 @@
       && strncmp (headers->authorization, bearer, sizeof bearer - 1) == 0)
     spec->account_key_hash = hash_token (headers->authorization + sizeof bearer - 1);
   if (headers->idempotency_key != NULL && headers->idempotency_key[0] != '\0')
-    spec->idempotency_key = tt_hash_id128 (tt_hash_string (spec->account), headers->idempotency_key,
-                                           strlen (headers->idempotency_key));
+    spec->idempotency_key = tt_chat_idempotency_key (spec->account, headers->idempotency_key);
   if (headers->chat_route != NULL)
     spec->route_hint = strtoull (headers->chat_route, NULL, 16);
   if (headers->chat_id != NULL && headers->chat_id[0] != '\0')
--- a/src/tarragontrack/codec/chat.h
+++ b/src/tarragontrack/codec/chat.h
@@ -40,6 +40,9 @@
                         const char *body, size_t size, const TtCallerHeaders *headers,
                         TtRequestSpec *spec, TtError *error);
 
+/// Key of a claim: an Idempotency-Key within its client account. @account may be NULL.
+TtId128 tt_chat_idempotency_key (const char *account, const char *key);
+
 /// Name of an outcome as in the X-Outcome header.
 const char *tt_chat_outcome_name (TtOutcome outcome);
 
--- a/src/tarragontrack/io/backend_client.c
+++ b/src/tarragontrack/io/backend_client.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/io/backend_defs.h"
 #include <stdarg.h>
 #include <stdio.h>
@@ -193,6 +194,7 @@
 {
   const TtBackendServer *backend = tt_backend_find (client->front.board, action->backend_id);
   const TtCallerCall *caller = tt_caller_server_find (client->options.callers, action->request_id);
+  const TtRequest *request_record = tt_request_find (client->front.board, action->request_id);
   HeaderList headers = { .count = 0 };
   TtBackendAttempt *attempt;
   TtHttpRequest request;
@@ -215,6 +217,10 @@
                                  .body = caller->body,
                                  .body_size = caller->body_size,
                                  .connect_timeout_ms = client->options.connect_timeout_ms,
+                                 // An idle connection may close while the request is on its
+                                 // way; for work that runs once the outcome would be unknown.
+                                 .fresh_connection
+                                 = request_record != NULL && !request_record->idempotent,
                                  .context = attempt,
                                  .on_sent = tt_backend_on_sent,
                                  .on_headers = tt_backend_on_headers,
--- a/src/tarragontrack/io/caller_server.c
+++ b/src/tarragontrack/io/caller_server.c
@@ -186,6 +186,19 @@
                              call->body, call->body_size, &headers, &call->spec, error);
 }
 
+/// Asks the board for the recorded outcome of an idempotency key of the caller's account.
+static void
+ask_outcome (TtCallerServer *server, TtCallerRecord *record)
+{
+  const char *account = tt_http_server_header (record->req, "x-client-account");
+  const char *key = record->call.path + sizeof OUTCOMES_PATH - 1;
+  TtEvent event = { .type = TT_EVENT_OUTCOME_QUERY };
+
+  event.outcome_query.request_id = record->call.id;
+  event.outcome_query.key = tt_chat_idempotency_key (account, key);
+  server->front.post (server->front.context, &event);
+}
+
 static void
 on_request (void *context, h2o_req_t *req)
 {
@@ -202,11 +215,7 @@
   reply.request_id = record->call.id;
   if (strncmp (record->call.path, OUTCOMES_PATH, sizeof OUTCOMES_PATH - 1) == 0)
     {
-      (void) tt_error_set (&reply.error, TT_E_INVALID, TT_STEP_CALLER_READ, "caller",
-                           "outcomes of claims cannot be queried yet");
-      reply.status = 501;
-      reply.outcome = TT_OUTCOME_UNKNOWN;
-      tt_caller_server_reply (server, &reply);
+      ask_outcome (server, record);
       return;
     }
   if (read_spec (server, record, &reply.error) < 0)
