feat(bench): simulated routers and engine models

Benches need many routers in one process with simulated time. bench/support drives boards, delivers their peer messages with delay and loss, and models engines with a queue, a batch and a least recently used prefix cache; baselines and an oracle use the same workload.

--- /dev/null
+++ b/bench/support/engine.c
@@ -0,0 +1,217 @@
+#include "support/sim.h"
+#include "tarragontrack/board/hash.h"
+#include <stdlib.h>
+
+enum
+{
+  CACHE_BUCKETS = 1024
+};
+
+/// Tokens of one chat or one shared prefix in an engine's cache.
+typedef struct
+{
+  TtLink link;        ///< on SimEngine.cache
+  TtLink bucket_link; ///< on SimEngine.cache_buckets
+  uint64_t key;
+  uint32_t tokens;
+} SimCacheEntry;
+
+static SimCacheEntry *
+find_entry (const SimEngine *engine, uint64_t key)
+{
+  TT_LIST_FOREACH (&engine->cache_buckets[key % CACHE_BUCKETS], it)
+    {
+      SimCacheEntry *entry = TT_CONTAINER_OF (it, SimCacheEntry, bucket_link);
+
+      if (entry->key == key)
+        return entry;
+    }
+  return NULL;
+}
+
+static void
+drop_entry (SimEngine *engine, SimCacheEntry *entry)
+{
+  engine->cache_used -= entry->tokens;
+  tt_list_remove (&engine->cache, &entry->link);
+  tt_list_remove (&engine->cache_buckets[entry->key % CACHE_BUCKETS], &entry->bucket_link);
+  free (entry);
+}
+
+/// Stores a prompt, or renews it; evicts the least recently used ones.
+static void
+store_entry (Sim *sim, SimEngine *engine, uint64_t key, uint32_t tokens)
+{
+  SimCacheEntry *entry = find_entry (engine, key);
+
+  if (entry != NULL)
+    drop_entry (engine, entry);
+  entry = calloc (1, sizeof *entry);
+  if (entry == NULL)
+    abort ();
+  entry->key = key;
+  entry->tokens = tokens;
+  engine->cache_used += tokens;
+  tt_list_append (&engine->cache, &entry->link);
+  tt_list_append (&engine->cache_buckets[key % CACHE_BUCKETS], &entry->bucket_link);
+  while (engine->cache_used > sim->config.cache_tokens && engine->cache.count > 1)
+    drop_entry (engine, TT_CONTAINER_OF (tt_list_first (&engine->cache), SimCacheEntry, link));
+}
+
+static void
+clear_cache (SimEngine *engine)
+{
+  TtLink *link;
+
+  while ((link = tt_list_first (&engine->cache)) != NULL)
+    drop_entry (engine, TT_CONTAINER_OF (link, SimCacheEntry, link));
+}
+
+int
+sim_engine_open (Sim *sim, SimEngine *engine)
+{
+  tt_list_init (&engine->running);
+  tt_list_init (&engine->waiting);
+  tt_list_init (&engine->cache);
+  engine->up = true;
+  engine->slow = 1.0;
+  engine->cache_buckets = calloc (CACHE_BUCKETS, sizeof *engine->cache_buckets);
+  engine->in_flight = calloc (sim->config.routers, sizeof *engine->in_flight);
+  if (engine->cache_buckets == NULL || engine->in_flight == NULL)
+    return -1;
+  for (uint32_t i = 0; i < CACHE_BUCKETS; i++)
+    tt_list_init (&engine->cache_buckets[i]);
+  return 0;
+}
+
+void
+sim_engine_close (SimEngine *engine)
+{
+  if (engine->cache_buckets != NULL)
+    clear_cache (engine);
+  free (engine->cache_buckets);
+  free (engine->in_flight);
+}
+
+uint32_t
+sim_load (const SimEngine *engine)
+{
+  return engine->running.count + engine->waiting.count;
+}
+
+uint32_t
+sim_cached_tokens (const SimEngine *engine, const SimRequest *request)
+{
+  const SimCacheEntry *chat = find_entry (engine, request->chat->key);
+  const SimCacheEntry *prefix = find_entry (engine, request->chat->prefix_key);
+  uint32_t tokens = chat != NULL ? chat->tokens : 0;
+
+  if (prefix != NULL && prefix->tokens > tokens)
+    tokens = prefix->tokens;
+  return tokens < request->prompt_tokens ? tokens : request->prompt_tokens;
+}
+
+/// Starts waiting requests while the batch has room.
+static void
+fill_batch (Sim *sim, SimEngine *engine)
+{
+  while (engine->running.count < sim->config.batch && engine->waiting.count > 0)
+    {
+      SimRequest *request = TT_CONTAINER_OF (tt_list_pop (&engine->waiting), SimRequest, link);
+      uint32_t fresh;
+
+      tt_list_append (&engine->running, &request->link);
+      request->started_us = sim->now_us;
+      request->cached_tokens = sim_cached_tokens (engine, request);
+      fresh = request->prompt_tokens - request->cached_tokens;
+      store_entry (sim, engine, request->chat->prefix_key, request->chat->prefix_tokens);
+      store_entry (sim, engine, request->chat->key, request->prompt_tokens);
+      sim_push (
+          sim,
+          sim->now_us
+              + (int64_t) ((fresh * sim->config.prefill_us + sim->config.decode_us) * engine->slow),
+          SIM_EVENT_FIRST, (uint32_t) (request - sim->requests), request->serial, NULL);
+    }
+}
+
+void
+sim_engine_submit (Sim *sim, SimEngine *engine, SimRequest *request)
+{
+  request->engine = engine;
+  engine->in_flight[request->router]++;
+  tt_list_append (&engine->waiting, &request->link);
+  fill_batch (sim, engine);
+}
+
+void
+sim_engine_cancel (Sim *sim, SimRequest *request)
+{
+  SimEngine *engine = request->engine;
+
+  if (engine == NULL)
+    return;
+  tt_list_remove (request->started_us != 0 ? &engine->running : &engine->waiting, &request->link);
+  engine->in_flight[request->router]--;
+  request->engine = NULL;
+  request->serial++;
+  request->started_us = 0;
+  fill_batch (sim, engine);
+}
+
+void
+sim_engine_event (Sim *sim, const SimEvent *event)
+{
+  SimRequest *request = &sim->requests[event->index];
+  SimEngine *engine = request->engine;
+
+  if (request->serial != event->stamp || engine == NULL)
+    return;
+  if (event->type == SIM_EVENT_FIRST)
+    {
+      request->first_us = sim->now_us;
+      sim_push (sim,
+                sim->now_us
+                    + (int64_t) (request->answer_tokens * sim->config.decode_us * engine->slow),
+                SIM_EVENT_DONE, event->index, event->stamp, NULL);
+      if (sim->boards != NULL)
+        sim_router_progress (sim, request);
+      return;
+    }
+  store_entry (sim, engine, request->chat->key, request->prompt_tokens + request->answer_tokens);
+  tt_list_remove (&engine->running, &request->link);
+  engine->in_flight[request->router]--;
+  fill_batch (sim, engine);
+  if (sim->boards != NULL)
+    sim_router_done (sim, request, false);
+  else
+    sim_request_end (sim, request, TT_OUTCOME_COMPLETE);
+}
+
+void
+sim_engine_set_up (Sim *sim, SimEngine *engine, bool up)
+{
+  TtLink *link;
+
+  if (engine->up == up)
+    return;
+  engine->up = up;
+  engine->epoch++;
+  clear_cache (engine);
+  sim_router_hosts (sim);
+  if (up)
+    return;
+  while ((link = tt_list_first (engine->running.count > 0 ? &engine->running : &engine->waiting))
+         != NULL)
+    {
+      SimRequest *request = TT_CONTAINER_OF (link, SimRequest, link);
+
+      tt_list_remove (request->started_us != 0 ? &engine->running : &engine->waiting, link);
+      engine->in_flight[request->router]--;
+      request->engine = NULL;
+      request->serial++;
+      if (sim->boards != NULL)
+        sim_router_done (sim, request, true);
+      else
+        sim_request_end (sim, request, TT_OUTCOME_CUT);
+    }
+}
--- /dev/null
+++ b/bench/support/sim.c
@@ -0,0 +1,374 @@
+#include "support/sim.h"
+#include "tarragontrack/board/hash.h"
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SAMPLE_US (100 * TT_MILLISECOND_US)
+
+const char *
+sim_policy_name (SimPolicy policy)
+{
+  static const char *const names[SIM_POLICY_COUNT]
+      = { "tarragontrack",        "random", "round robin", "least in flight", "consistent hashing",
+          "power of two choices", "oracle" };
+
+  return names[policy];
+}
+
+void
+sim_defaults (SimConfig *config)
+{
+  *config = (SimConfig){ .seed = 1,
+                         .domains = 3,
+                         .engines = 10,
+                         .routers = 5,
+                         .batch = 32,
+                         .cache_tokens = 400000,
+                         .prefill_us = 100.0,
+                         .decode_us = 30000.0,
+                         .accounts = 10,
+                         .skew = 1.0,
+                         .prefixes = 4,
+                         .prefix_tokens = 800,
+                         .turn_tokens = 200,
+                         .answer_tokens = 430,
+                         .chats = 600,
+                         .returning = 0.8,
+                         .rate = 10.0,
+                         .surge_factor = 1.0,
+                         .outage_us = 20 * TT_SECOND_US,
+                         .delay_us = 500,
+                         .report_lag_us = TT_SECOND_US,
+                         .warm_us = 60 * TT_SECOND_US,
+                         .duration_us = 120 * TT_SECOND_US,
+                         .load_multiple = 1.25 };
+}
+
+/// True if event @a runs before event @b.
+static bool
+is_before (const SimEvent *a, const SimEvent *b)
+{
+  return a->at_us < b->at_us || (a->at_us == b->at_us && a->order < b->order);
+}
+
+void
+sim_push (Sim *sim, int64_t at_us, SimEventType type, uint32_t index, uint64_t stamp, void *data)
+{
+  uint32_t at = sim->heap_count++;
+
+  if (sim->heap_count > sim->heap_size)
+    {
+      sim->heap_size = sim->heap_size * 2 + 1024;
+      sim->heap = realloc (sim->heap, sim->heap_size * sizeof *sim->heap);
+      if (sim->heap == NULL)
+        abort ();
+    }
+  sim->heap[at] = (SimEvent){ .at_us = at_us,
+                              .order = sim->order++,
+                              .type = type,
+                              .index = index,
+                              .stamp = stamp,
+                              .data = data };
+  while (at > 0 && is_before (&sim->heap[at], &sim->heap[(at - 1) / 2]))
+    {
+      SimEvent swap = sim->heap[at];
+
+      sim->heap[at] = sim->heap[(at - 1) / 2];
+      sim->heap[(at - 1) / 2] = swap;
+      at = (at - 1) / 2;
+    }
+}
+
+bool
+sim_pop (Sim *sim, SimEvent *event)
+{
+  uint32_t at = 0;
+
+  if (sim->heap_count == 0)
+    return false;
+  *event = sim->heap[0];
+  sim->heap[0] = sim->heap[--sim->heap_count];
+  for (;;)
+    {
+      uint32_t least = at;
+
+      for (uint32_t child = 2 * at + 1; child <= 2 * at + 2; child++)
+        if (child < sim->heap_count && is_before (&sim->heap[child], &sim->heap[least]))
+          least = child;
+      if (least == at)
+        return true;
+      SimEvent swap = sim->heap[at];
+
+      sim->heap[at] = sim->heap[least];
+      sim->heap[least] = swap;
+      at = least;
+    }
+}
+
+uint32_t
+sim_load_bound (const Sim *sim, uint32_t domain)
+{
+  uint32_t load = 0;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim->config.engines; i++)
+    if (sim->engines[i].domain == domain && sim->engines[i].up)
+      {
+        load += sim_load (&sim->engines[i]);
+        count++;
+      }
+  return count == 0 ? 0 : (uint32_t) ceil (sim->config.load_multiple * load / count) + 1;
+}
+
+/// Compares each engine's load with the bound P1.
+static void
+sample_loads (Sim *sim)
+{
+  for (uint32_t domain = 0; domain < sim->config.domains; domain++)
+    {
+      uint32_t bound = sim_load_bound (sim, domain);
+
+      for (uint32_t i = domain; i < sim->config.engines; i += sim->config.domains)
+        {
+          SimEngine *engine = &sim->engines[i];
+          double ratio = bound > 0 ? sim_load (engine) / (double) bound : 0.0;
+
+          if (!engine->up)
+            continue;
+          sim->result.samples++;
+          if (ratio > sim->result.worst_ratio)
+            sim->result.worst_ratio = ratio;
+          if (sim_load (engine) <= bound)
+            engine->over_since_us = 0;
+          else
+            {
+              sim->result.over_samples++;
+              if (engine->over_since_us == 0)
+                engine->over_since_us = sim->now_us;
+              if (sim->now_us - engine->over_since_us >= sim->result.over_longest_us)
+                sim->result.over_longest_us = sim->now_us - engine->over_since_us + SAMPLE_US;
+            }
+        }
+    }
+}
+
+/// Time of the next arrival of a Poisson process.
+static int64_t
+next_arrival (Sim *sim, double rate)
+{
+  double gap = rate > 0.0 ? -log (1.0 - tt_rng_unit (&sim->rng)) / rate : 1.0;
+
+  return sim->now_us + 1 + (int64_t) (gap * 1e6);
+}
+
+static void
+handle_arrival (Sim *sim)
+{
+  int64_t since_us = sim->now_us - SIM_START_US;
+  double rate = sim->config.rate;
+
+  if (sim->config.rate_at != NULL)
+    rate = sim->config.rate_at (sim->config.context, since_us);
+  sim_push (sim, next_arrival (sim, rate), SIM_EVENT_ARRIVAL, 0, 0, NULL);
+  sim_arrive (sim, false);
+}
+
+static void
+handle_surge (Sim *sim)
+{
+  uint32_t account = sim->config.surge_account;
+  double weight = sim->account_sums[account] - (account > 0 ? sim->account_sums[account - 1] : 0.0);
+  double rate = sim->config.rate * (sim->config.surge_factor - 1.0) * weight
+                / sim->account_sums[sim->config.accounts - 1];
+
+  if (sim->now_us - SIM_START_US >= sim->config.surge_until_us)
+    return;
+  sim_push (sim, next_arrival (sim, rate), SIM_EVENT_SURGE, 0, 0, NULL);
+  sim_arrive (sim, true);
+}
+
+/// Restarts a random engine, or leaves all up.
+static void
+handle_churn (Sim *sim)
+{
+  SimEngine *engine = &sim->engines[tt_rng_below (&sim->rng, sim->config.engines)];
+
+  sim_push (sim, next_arrival (sim, sim->config.churn * sim->config.engines / 60.0),
+            SIM_EVENT_CHURN, 0, 0, NULL);
+  if (!engine->up)
+    return;
+  sim->result.churned += sim->measuring;
+  sim_engine_set_up (sim, engine, false);
+  sim_push (sim, sim->now_us + sim->config.outage_us, SIM_EVENT_RETURN, engine->index, 0, NULL);
+}
+
+static void
+handle_sample (Sim *sim)
+{
+  sim_push (sim, sim->now_us + SAMPLE_US, SIM_EVENT_SAMPLE, 0, 0, NULL);
+  if (!sim->measuring && sim->now_us - SIM_START_US >= sim->config.warm_us)
+    {
+      sim->measuring = true;
+      for (uint32_t i = 0; i < sim->config.routers; i++)
+        sim->sent_bytes[i] = 0;
+    }
+  if (sim->measuring)
+    sample_loads (sim);
+  if (sim->config.sample != NULL)
+    sim->config.sample (sim->config.context, sim, sim->now_us);
+}
+
+static void
+handle_event (Sim *sim, const SimEvent *event)
+{
+  switch (event->type)
+    {
+    case SIM_EVENT_ARRIVAL:
+      handle_arrival (sim);
+      break;
+    case SIM_EVENT_SURGE:
+      handle_surge (sim);
+      break;
+    case SIM_EVENT_FIRST:
+    case SIM_EVENT_DONE:
+      sim_engine_event (sim, event);
+      break;
+    case SIM_EVENT_PEER:
+      sim_router_peer (sim, event->index, event->data);
+      free (event->data);
+      break;
+    case SIM_EVENT_TICK:
+      sim_push (sim, sim->now_us + TT_TICK_US, SIM_EVENT_TICK, event->index, 0, NULL);
+      sim_router_tick (sim, event->index);
+      break;
+    case SIM_EVENT_SAMPLE:
+      handle_sample (sim);
+      break;
+    case SIM_EVENT_REPORT:
+      sim_push (sim, sim->now_us + sim->config.report_lag_us, SIM_EVENT_REPORT, event->index, 0,
+                NULL);
+      sim->engines[event->index].reported = sim_load (&sim->engines[event->index]);
+      break;
+    case SIM_EVENT_CHURN:
+      handle_churn (sim);
+      break;
+    default:
+      sim_engine_set_up (sim, &sim->engines[event->index], true);
+      break;
+    }
+}
+
+/// Schedules the events that repeat.
+static void
+start_events (Sim *sim)
+{
+  const SimConfig *config = &sim->config;
+
+  sim_push (sim, sim->now_us + TT_SECOND_US, SIM_EVENT_ARRIVAL, 0, 0, NULL);
+  sim_push (sim, sim->now_us, SIM_EVENT_SAMPLE, 0, 0, NULL);
+  if (config->surge_factor > 1.0)
+    sim_push (sim, sim->now_us + config->surge_from_us, SIM_EVENT_SURGE, 0, 0, NULL);
+  if (config->churn > 0.0)
+    sim_push (sim, next_arrival (sim, config->churn * config->engines / 60.0), SIM_EVENT_CHURN, 0,
+              0, NULL);
+  for (uint32_t i = 0; i < config->engines; i++)
+    sim_push (sim, sim->now_us + (int64_t) i * 977, SIM_EVENT_REPORT, i, 0, NULL);
+  for (uint32_t i = 0; sim->boards != NULL && i < config->routers; i++)
+    sim_push (sim, sim->now_us + (int64_t) i * 1511 % TT_TICK_US, SIM_EVENT_TICK, i, 0, NULL);
+}
+
+static int
+open_sim (Sim *sim)
+{
+  sim->engines = calloc (sim->config.engines, sizeof *sim->engines);
+  sim->sent_bytes = calloc (sim->config.routers, sizeof *sim->sent_bytes);
+  if (sim->engines == NULL || sim->sent_bytes == NULL)
+    return -1;
+  for (uint32_t i = 0; i < sim->config.engines; i++)
+    {
+      SimEngine *engine = &sim->engines[i];
+
+      engine->index = i;
+      engine->domain = i % sim->config.domains;
+      (void) snprintf (engine->name, sizeof engine->name, "engine-%u", i);
+      engine->id = tt_hash_string (engine->name);
+      if (sim_engine_open (sim, engine) < 0)
+        return -1;
+    }
+  if (sim_workload_open (sim) < 0 || sim_policy_open (sim) < 0)
+    return -1;
+  return sim->config.policy == SIM_ROUTER ? sim_router_open (sim) : 0;
+}
+
+static void
+close_sim (Sim *sim)
+{
+  SimEvent event;
+
+  while (sim_pop (sim, &event))
+    if (event.type == SIM_EVENT_PEER)
+      free (event.data);
+  sim_router_close (sim);
+  for (uint32_t i = 0; sim->engines != NULL && i < sim->config.engines; i++)
+    sim_engine_close (&sim->engines[i]);
+  sim_workload_close (sim);
+  free (sim->engines);
+  free (sim->sent_bytes);
+  free (sim->ring);
+  free (sim->heap);
+  free (sim);
+}
+
+/// Computes the means of a run.
+static void
+finish_result (Sim *sim)
+{
+  SimResult *result = &sim->result;
+  double seconds = (double) sim->config.duration_us / 1e6;
+
+  if (result->prompt_tokens > 0)
+    result->reuse = (double) result->cached_tokens / (double) result->prompt_tokens;
+  if (result->completed > 0)
+    result->first_token_us = sim->first_sum_us / (double) result->completed;
+  for (uint32_t i = 0; i < sim->config.routers; i++)
+    {
+      double bytes_s = (double) sim->sent_bytes[i] / seconds;
+
+      result->peer_bytes += sim->sent_bytes[i];
+      result->peer_bytes_s += bytes_s / sim->config.routers;
+      if (bytes_s > result->worst_peer_bytes_s)
+        result->worst_peer_bytes_s = bytes_s;
+    }
+}
+
+int
+sim_run (const SimConfig *config, SimResult *result)
+{
+  Sim *sim = calloc (1, sizeof *sim);
+  int64_t end_us = SIM_START_US + config->warm_us + config->duration_us;
+  SimEvent event;
+  int code;
+
+  if (sim == NULL)
+    return -1;
+  sim->config = *config;
+  sim->now_us = SIM_START_US;
+  tt_rng_init (&sim->rng, config->seed, 77);
+  code = open_sim (sim);
+  if (code == 0)
+    {
+      start_events (sim);
+      while (sim_pop (sim, &event) && event.at_us < end_us)
+        {
+          sim->now_us = event.at_us;
+          handle_event (sim, &event);
+        }
+      if (event.type == SIM_EVENT_PEER)
+        free (event.data);
+      finish_result (sim);
+      *result = sim->result;
+    }
+  close_sim (sim);
+  return code;
+}
--- /dev/null
+++ b/bench/support/workload.c
@@ -0,0 +1,204 @@
+#include "support/sim.h"
+#include <math.h>
+#include <stdlib.h>
+
+enum
+{
+  MAX_REQUESTS = 65536
+};
+
+/// A number around a mean, between half of it and one and a half times it.
+static uint32_t
+around (Sim *sim, uint32_t mean)
+{
+  return mean / 2 + (uint32_t) tt_rng_below (&sim->rng, mean + 1);
+}
+
+static uint32_t
+draw_account (Sim *sim)
+{
+  double total = sim->account_sums[sim->config.accounts - 1];
+  double at = tt_rng_unit (&sim->rng) * total;
+  uint32_t account = 0;
+
+  while (account + 1 < sim->config.accounts && sim->account_sums[account] <= at)
+    account++;
+  return account;
+}
+
+static SimChat *
+new_chat (Sim *sim, uint32_t account)
+{
+  SimChat *chat = calloc (1, sizeof *chat);
+  uint64_t prefix;
+
+  if (chat == NULL)
+    abort ();
+  prefix = tt_rng_below (&sim->rng, sim->config.prefixes);
+  chat->key = tt_rng_next (&sim->rng) | 1;
+  chat->account = account;
+  chat->prefix_key = tt_hash_pair (account + 1, prefix + 1);
+  chat->prefix_tokens = sim->config.prefix_tokens / 2
+                        + (uint32_t) (chat->prefix_key % (sim->config.prefix_tokens + 1));
+  chat->tokens = chat->prefix_tokens + around (sim, sim->config.turn_tokens);
+  chat->home_domain = (uint32_t) tt_rng_below (&sim->rng, sim->config.domains);
+  return chat;
+}
+
+static void
+park_chat (Sim *sim, SimChat *chat)
+{
+  if (sim->idle_count == sim->idle_size)
+    {
+      uint32_t size = sim->idle_size * 2 + 64;
+      SimChat **grown = realloc (sim->idle, size * sizeof *grown);
+
+      if (grown == NULL)
+        abort ();
+      sim->idle = grown;
+      sim->idle_size = size;
+    }
+  sim->idle[sim->idle_count++] = chat;
+}
+
+int
+sim_workload_open (Sim *sim)
+{
+  double sum = 0.0;
+
+  sim->account_sums = calloc (sim->config.accounts, sizeof *sim->account_sums);
+  sim->requests = calloc (MAX_REQUESTS, sizeof *sim->requests);
+  sim->request_count = MAX_REQUESTS;
+  tt_list_init (&sim->free_requests);
+  if (sim->account_sums == NULL || sim->requests == NULL)
+    return -1;
+  for (uint32_t i = 0; i < MAX_REQUESTS; i++)
+    tt_list_append (&sim->free_requests, &sim->requests[i].link);
+  for (uint32_t i = 0; i < sim->config.accounts; i++)
+    {
+      sum += pow (i + 1.0, -sim->config.skew);
+      sim->account_sums[i] = sum;
+    }
+  for (uint32_t i = 0; i < sim->config.chats; i++)
+    park_chat (sim, new_chat (sim, draw_account (sim)));
+  return 0;
+}
+
+void
+sim_workload_close (Sim *sim)
+{
+  for (uint32_t i = 0; i < sim->idle_count; i++)
+    free (sim->idle[i]);
+  for (uint32_t i = 0; sim->requests != NULL && i < sim->request_count; i++)
+    free (sim->requests[i].chat);
+  free (sim->idle);
+  free (sim->requests);
+  free (sim->account_sums);
+}
+
+/// A chat that continues, or a new one.
+static SimChat *
+choose_chat (Sim *sim, bool surge)
+{
+  uint64_t index;
+  SimChat *chat;
+
+  if (surge)
+    return new_chat (sim, sim->config.surge_account);
+  if (sim->idle_count == 0 || tt_rng_unit (&sim->rng) >= sim->config.returning)
+    return new_chat (sim, draw_account (sim));
+  index = tt_rng_below (&sim->rng, sim->idle_count);
+  chat = sim->idle[index];
+  sim->idle[index] = sim->idle[--sim->idle_count];
+  return chat;
+}
+
+/// A router of the chat's failure domain; callers do not return to the same one.
+static uint32_t
+choose_router (Sim *sim, const SimChat *chat)
+{
+  uint32_t domains = sim->config.domains;
+  uint32_t count = (sim->config.routers + domains - 1 - chat->home_domain) / domains;
+
+  return chat->home_domain + domains * (uint32_t) tt_rng_below (&sim->rng, count);
+}
+
+void
+sim_arrive (Sim *sim, bool surge)
+{
+  TtLink *link = tt_list_pop (&sim->free_requests);
+  SimRequest *request;
+  uint64_t serial;
+
+  if (link == NULL)
+    return;
+  request = TT_CONTAINER_OF (link, SimRequest, link);
+  serial = request->serial + 1;
+  *request = (SimRequest){ .serial = serial };
+  request->chat = choose_chat (sim, surge);
+  request->router = choose_router (sim, request->chat);
+  request->prompt_tokens = request->chat->tokens;
+  request->answer_tokens = around (sim, sim->config.answer_tokens);
+  request->priority = 1;
+  request->kind = "";
+  request->arrived_us = sim->now_us;
+  if (sim->config.shape != NULL)
+    sim->config.shape (sim->config.context, sim, request);
+  if (sim->boards != NULL)
+    {
+      sim_router_request (sim, request);
+      return;
+    }
+  {
+    SimEngine *engine = sim_policy_pick (sim, request);
+
+    if (engine == NULL)
+      sim_request_end (sim, request, TT_OUTCOME_NOT_RUN);
+    else
+      sim_engine_submit (sim, engine, request);
+  }
+}
+
+/// Adds an ended request to the result.
+static void
+count_request (Sim *sim, const SimRequest *request)
+{
+  SimResult *result = &sim->result;
+
+  result->requests++;
+  if (request->outcome == TT_OUTCOME_NOT_RUN)
+    result->not_run++;
+  else if (request->outcome != TT_OUTCOME_COMPLETE)
+    result->failed++;
+  else
+    {
+      result->completed++;
+      result->prompt_tokens += request->prompt_tokens;
+      result->cached_tokens += request->cached_tokens;
+      sim->first_sum_us += (double) (request->first_us - request->arrived_us);
+    }
+  if (sim->config.ended != NULL)
+    sim->config.ended (sim->config.context, sim, request);
+}
+
+void
+sim_request_end (Sim *sim, SimRequest *request, TtOutcome outcome)
+{
+  SimChat *chat = request->chat;
+
+  request->outcome = outcome;
+  request->ended_us = sim->now_us;
+  if (sim->measuring)
+    count_request (sim, request);
+  if (outcome == TT_OUTCOME_COMPLETE)
+    chat->tokens
+        = request->prompt_tokens + request->answer_tokens + around (sim, sim->config.turn_tokens);
+  // As many chats end as begin, so that their number stays the same.
+  if (tt_rng_unit (&sim->rng) < sim->config.returning)
+    park_chat (sim, chat);
+  else
+    free (chat);
+  request->chat = NULL;
+  request->serial++;
+  tt_list_append (&sim->free_requests, &request->link);
+}
