--- a/src/tarragontrack/board/admit_defs.h
+++ b/src/tarragontrack/board/admit_defs.h
@@ -6,10 +6,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  TT_ACCOUNT_BUCKETS = 256,
+  TT_ACCOUNT_PEERS = 4096 ///< counts of other daemons; the oldest of a slot is replaced
+};
+
 /// A client account of a document in force.
 typedef struct TtClientAccount
 {
-  TtLink link; ///< on TtAdmitSection.accounts
+  TtLink link;        ///< on TtAdmitSection.accounts
+  TtLink bucket_link; ///< on TtAdmitSection.buckets
   TtAccountSpec spec;
   uint64_t team_id;
   uint32_t in_flight; ///< requests of this daemon past the queue
@@ -17,15 +24,26 @@
   uint32_t fleet_in_flight; ///< sum over the fleet, from gossip
   double allowance;         ///< requests it may start now (token bucket)
   int64_t refilled_us;
-  double virtual_finish[TT_PRIORITY_COUNT]; ///< start-time fair queueing, one a priority
+  double *virtual_finish; ///< start-time fair queueing, one a pool and priority
+  bool retired;           ///< in no document any more; freed with its last request
 } TtClientAccount;
 
+/// Requests of an account past the queue of another daemon, from gossip.
+typedef struct
+{
+  uint64_t account_id; ///< 0 = unused
+  uint64_t member_id;
+  uint32_t in_flight;
+  int64_t seen_us;
+} TtAccountPeer;
+
 typedef struct
 {
   TtLink queue_link; ///< on TtAdmitPool.queues
   double virtual_start;
   double virtual_finish;
   int64_t queued_us;
+  bool released; ///< counted in its account's in_flight
 } TtAdmitRequest;
 
 typedef struct
@@ -33,8 +51,11 @@
   TtList queues[TT_PRIORITY_COUNT]; ///< TtAdmitRequest.queue_link, by virtual start
   double virtual_time[TT_PRIORITY_COUNT];
   uint32_t queued;
-  uint32_t ready;    ///< released and not placed yet
-  double service_us; ///< mean time between two releases, for the expected wait
+  uint32_t ready;      ///< released and not placed yet
+  uint32_t long_ready; ///< part of them that are long
+  uint32_t releases;   ///< since the last one given to aged work
+  int64_t released_us; ///< last release
+  double service_us;   ///< mean time between two releases, for the expected wait
 } TtAdmitPool;
 
 /// BOUNDS     max_accounts accounts, max_queued requests; beyond it requests are shed
@@ -43,6 +64,10 @@
   TtList accounts;
   TtList free_accounts;
   TtClientAccount *pool;
+  TtList buckets[TT_ACCOUNT_BUCKETS]; ///< TtClientAccount.bucket_link, by id
+  double *virtual_finish;             ///< of all accounts
+  TtAccountPeer *peers;               ///< TT_ACCOUNT_PEERS entries
+  int64_t next_sum_us;
   uint32_t max_accounts;
   uint32_t queued;
   uint32_t max_queued;
--- a/src/tarragontrack/board/drain_defs.h
+++ b/src/tarragontrack/board/drain_defs.h
@@ -17,4 +17,5 @@
   TtDrainState state;
   bool ready; ///< answer of /readyz
   int64_t started_us;
+  int64_t idle_us; ///< since when no request is open; 0 = one is
 } TtDrainSection;
--- a/src/tarragontrack/board/poison_defs.h
+++ b/src/tarragontrack/board/poison_defs.h
@@ -7,20 +7,26 @@
 
 enum
 {
-  TT_MAX_SUSPECTS = 1024 ///< fingerprints; the oldest is replaced
+  TT_MAX_SUSPECTS = 1024, ///< fingerprints; the oldest is replaced
+  TT_SUSPECT_BUCKETS = 256
 };
 
 typedef struct
 {
   uint64_t fingerprint; ///< hash of client account and body
   bool suspect;         ///< must run beside no other suspect
+  bool blocked;         ///< it was stopped after crashes; no further attempt
+  bool checked;         ///< the fingerprint was looked up
 } TtPoisonRequest;
 
 typedef struct
 {
-  TtLink link;
+  TtLink link;        ///< on TtPoisonSection.suspects, .heard or .free
+  TtLink bucket_link; ///< on TtPoisonSection.buckets
   uint64_t fingerprint;
   uint32_t strikes;
+  uint32_t runs; ///< attempts of it that ended with a crash
+  bool heard;    ///< known from gossip only
   uint64_t last_backend_id;
   int64_t struck_us;
   int64_t blocked_until_us; ///< 0 = not blocked
@@ -28,7 +34,9 @@
 
 typedef struct
 {
-  TtList suspects; ///< most recently struck first
+  TtList suspects; ///< seen by this daemon, most recently struck first; these are gossiped
+  TtList heard;    ///< from gossip, not passed on, so that an expired entry does not come back
+  TtList buckets[TT_SUSPECT_BUCKETS]; ///< TtSuspect.bucket_link, by fingerprint
   TtList free;
   TtSuspect *pool;
 } TtPoisonSection;
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -1,41 +1,163 @@
+#include "tarragontrack/control/admit.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
+#include <string.h>
 
-#define DEFAULT_DEADLINE_US (30 * TT_SECOND_US)
+enum
+{
+  RETRY_AFTER_MS = 1000,
+  DEFAULT_DEADLINE_MS = 30000, // when neither the kind of work nor the caller gives one
+  LIMITED_QUEUE_MIN = 16,      // requests a limited account may queue, at least
+  LIMITED_QUEUE_FACTOR = 2     // and as a multiple of its part of the limit
+};
+
+static int
+open_admit (void *context, TtBoard *board)
+{
+  (void) context;
+  return tt_admit_open_accounts (board);
+}
+
+static void
+close_admit (void *context, TtBoard *board)
+{
+  (void) context;
+  tt_admit_close_accounts (board);
+}
+
+/// Document in force of a team; NULL if there is none.
+static const TtDocument *
+document_of (const TtBoard *board, uint64_t team_id)
+{
+  for (uint32_t i = 0; i < board->configuration.slot_count; i++)
+    {
+      const TtDocument *document = board->configuration.slots[i].document;
+
+      if (document != NULL && document->team_id == team_id)
+        return document;
+    }
+  return NULL;
+}
+
+/// Ends a request that is wrong; it did not run.
+static void
+reject (TtBoard *board, TtRequest *request, TtOutcome outcome, uint32_t status, int code,
+        const char *reason)
+{
+  TtError error = { 0 };
+
+  (void) tt_error_set (&error, code, TT_STEP_ADMIT, request->spec.service, "%s", reason);
+  tt_board_log (board, TT_LOG_REQUEST_REFUSED, "service=%s account=%s status=%u %s",
+                request->spec.service, request->spec.account, status, reason);
+  tt_request_finish (board, request, outcome, status, 0, &error);
+}
+
+/// Sets priority, deadline and repeatability; returns false if the kind of work is unknown.
+static bool
+resolve_kind (TtRequest *request, const TtDocument *document, int64_t now_us)
+{
+  const TtRequestSpec *spec = &request->spec;
+  uint32_t deadline_ms = document->default_queue_deadline_ms;
+  bool idempotent = true;
+
+  request->priority = document->default_priority;
+  if (spec->kind[0] != '\0')
+    {
+      uint64_t id = tt_hash_string (spec->kind);
+      const TtKindSpec *kind = NULL;
+
+      for (uint32_t i = 0; i < document->kind_count; i++)
+        if (document->kinds[i].id == id)
+          kind = &document->kinds[i];
+      if (kind == NULL)
+        return false;
+      request->priority = kind->priority;
+      deadline_ms = kind->queue_deadline_ms;
+      idempotent = kind->idempotent;
+    }
+  if (request->priority >= TT_PRIORITY_COUNT)
+    request->priority = TT_PRIORITY_COUNT - 1;
+  if (deadline_ms == 0)
+    deadline_ms = document->default_queue_deadline_ms;
+  if (spec->deadline_ms > 0 && (deadline_ms == 0 || spec->deadline_ms < deadline_ms))
+    deadline_ms = spec->deadline_ms;
+  if (deadline_ms == 0)
+    deadline_ms = DEFAULT_DEADLINE_MS;
+  request->deadline_us = now_us + deadline_ms * TT_MILLISECOND_US;
+  request->idempotent = spec->safe_method || (idempotent && request->pool->spec.repeatable);
+  return true;
+}
+
+/// Resolves service, account and kind of work; refuses the request if one is wrong.
+static void
+resolve_request (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  const TtRequestSpec *spec = &request->spec;
+  const TtDocument *document;
+
+  request->pool = tt_pool_find (board, tt_hash_string (spec->service));
+  document = request->pool != NULL ? document_of (board, request->pool->team_id) : NULL;
+  if (document == NULL)
+    {
+      // The request may be one that must not repeat, so that nothing is said of earlier attempts.
+      request->idempotent = tt_id128_is_zero (spec->idempotency_key);
+      if (!board->configuration.complete)
+        tt_admit_refuse (board, request, 503, RETRY_AFTER_MS, "no document is in force yet");
+      else
+        reject (board, request, TT_OUTCOME_INVALID, 404, TT_E_NOT_FOUND,
+                "no document in force has this service");
+      return;
+    }
+  request->account
+      = tt_admit_find_account (board, document->team_id, tt_hash_string (spec->account));
+  if (request->account == NULL
+      || (request->account->spec.key_hash != 0
+          && request->account->spec.key_hash != spec->account_key_hash))
+    {
+      request->account = NULL;
+      reject (board, request, TT_OUTCOME_INVALID, 401, TT_E_AUTH,
+              "the client account is unknown or its key is wrong");
+    }
+  else if (!resolve_kind (request, document, now_us))
+    reject (board, request, TT_OUTCOME_INVALID, 400, TT_E_NOT_FOUND,
+            "the document has no such kind of work");
+  else if (!request->idempotent && tt_id128_is_zero (spec->idempotency_key))
+    reject (board, request, TT_OUTCOME_NOT_RUN, 400, TT_E_INVALID,
+            "a request that must not repeat needs Idempotency-Key; it did not run");
+  else if (document->detached == TT_DETACHED_REFUSE
+           && now_us - board->configuration.contact_us > document->detach_after_s * TT_SECOND_US)
+    tt_admit_refuse (board, request, 503, RETRY_AFTER_MS,
+                     "this failure domain has no contact with the platform");
+}
 
-/// Enters a request; refuses one for an unknown service.
+/// Enters a request.
 static void
 enter_request (TtBoard *board, const TtRequestSpec *spec, int64_t now_us)
 {
   TtRequest *request = tt_request_new (board, spec, now_us);
-  TtError error = { 0 };
 
   tt_board_count (board, TT_COUNT_REQUESTS, 1);
   if (request == NULL)
     {
       TtAction *action = tt_board_act (board, TT_ACTION_REPLY);
+      bool keyed = !tt_id128_is_zero (spec->idempotency_key);
 
       tt_board_count (board, TT_COUNT_POOL_FULL, 1);
-      if (action != NULL)
-        action->reply = (TtReplyAction){ .request_id = spec->request_id,
-                                         .outcome = TT_OUTCOME_NOT_RUN,
-                                         .status = 503,
-                                         .retry_after_ms = 1000 };
+      tt_board_count (board, keyed ? TT_COUNT_UNKNOWN : TT_COUNT_NOT_RUN, 1);
+      if (action == NULL)
+        return;
+      action->reply = (TtReplyAction){ .request_id = spec->request_id,
+                                       .outcome = keyed ? TT_OUTCOME_UNKNOWN : TT_OUTCOME_NOT_RUN,
+                                       .status = 503,
+                                       .retry_after_ms = RETRY_AFTER_MS };
+      (void) tt_error_set (&action->reply.error, TT_E_LIMIT, TT_STEP_ADMIT, spec->service,
+                           "too many requests at this router; this attempt did not run");
       return;
     }
-  request->pool = tt_pool_find (board, tt_hash_string (spec->service));
-  request->deadline_us = now_us + DEFAULT_DEADLINE_US;
-  request->idempotent
-      = request->pool == NULL || request->pool->spec.repeatable || spec->safe_method;
-  if (request->pool == NULL)
-    {
-      (void) tt_error_set (&error, TT_E_NOT_FOUND, TT_STEP_ADMIT, spec->service,
-                           "no document in force has this service");
-      tt_request_finish (board, request, TT_OUTCOME_INVALID, 404, 0, &error);
-    }
+  resolve_request (board, request, now_us);
 }
 
 static void
@@ -44,6 +166,51 @@
   (void) context;
   if (event->type == TT_EVENT_REQUEST)
     enter_request (board, event->request, now_us);
+  else if (event->type == TT_EVENT_PEER && event->peer->type == TT_PEER_GOSSIP)
+    tt_admit_hear_accounts (board, &event->peer->gossip, now_us);
+  else if (event->type == TT_EVENT_TICK)
+    {
+      tt_admit_sum_accounts (board, now_us);
+      tt_admit_expire (board, now_us);
+    }
+}
+
+/// Checks the limits of one arrived request and queues it.
+static void
+admit_request (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  TtClientAccount *account = request->account;
+  uint32_t wait_ms;
+  uint32_t room;
+
+  if (board->drain.state >= TT_DRAIN_CLOSING)
+    {
+      tt_admit_refuse (board, request, 503, RETRY_AFTER_MS, "this router shuts down");
+      return;
+    }
+  wait_ms = tt_admit_take_rate (account, now_us);
+  if (wait_ms > 0)
+    {
+      tt_admit_refuse (board, request, 429, wait_ms, "the client account is over its rate");
+      return;
+    }
+  room = tt_admit_room (account);
+  if (room < UINT32_MAX && account->queued >= LIMITED_QUEUE_MIN
+      && account->queued >= LIMITED_QUEUE_FACTOR * (uint64_t) room)
+    tt_admit_refuse (board, request, 429, RETRY_AFTER_MS,
+                     "the client account has its limit of requests in flight");
+  else
+    tt_admit_enqueue (board, request, now_us);
+}
+
+/// Takes an ended request out of its queue and of its account's count.
+static void
+leave (TtBoard *board, TtRequest *request)
+{
+  tt_admit_dequeue (board, request);
+  if (request->admit.released)
+    request->account->in_flight--;
+  request->admit.released = false;
 }
 
 static void
@@ -52,13 +219,31 @@
   TtLink *link;
 
   (void) context;
-  (void) now_us;
+  if (board->configuration.changed)
+    tt_admit_update_accounts (board);
   while ((link = tt_list_first (&board->requests.stages[TT_STAGE_ARRIVED])) != NULL)
-    tt_request_set_stage (board, TT_CONTAINER_OF (link, TtRequest, stage_link), TT_STAGE_READY);
+    admit_request (board, TT_CONTAINER_OF (link, TtRequest, stage_link), now_us);
+  // A request that ended in this step leaves its queue and its account before the next is chosen.
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_FINISHED], it)
+    leave (board, TT_CONTAINER_OF (it, TtRequest, stage_link));
+  tt_admit_release (board, now_us);
+}
+
+static void
+on_finished (void *context, TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  (void) context;
+  (void) now_us;
+  leave (board, request);
 }
 
 TtController
 tt_admit_controller (void)
 {
-  return (TtController){ .name = "admit", .on_event = on_event, .run = run };
+  return (TtController){ .name = "admit",
+                         .open = open_admit,
+                         .close = close_admit,
+                         .on_event = on_event,
+                         .run = run,
+                         .on_finished = on_finished };
 }
--- /dev/null
+++ b/src/tarragontrack/control/admit.h
@@ -0,0 +1,52 @@
+/// Parts of `admit`: client accounts (admit_account.c) and queues (admit_queue.c).
+#pragma once
+
+#include "tarragontrack/board/board_defs.h"
+
+/// Allocates the accounts. RETURN 0 or TT_E_NO_MEMORY.
+int tt_admit_open_accounts (TtBoard *board);
+
+/// Frees the accounts.
+void tt_admit_close_accounts (TtBoard *board);
+
+/// Makes, updates and retires accounts after a change of the documents in force.
+void tt_admit_update_accounts (TtBoard *board);
+
+/// Looks up an account of a team; NULL if its document in force has none of this name.
+TtClientAccount *tt_admit_find_account (TtBoard *board, uint64_t team_id, uint64_t account_id);
+
+/// Takes over the sums that another daemon reports.
+void tt_admit_hear_accounts (TtBoard *board, const TtPeerGossip *gossip, int64_t now_us);
+
+/// Adds up the fleet's requests by account, at most once a second.
+void tt_admit_sum_accounts (TtBoard *board, int64_t now_us);
+
+/// tt_admit_take_rate - takes one request from the account's rate
+///
+/// RETURN     0, or milliseconds until the next request may start
+uint32_t tt_admit_take_rate (TtClientAccount *account, int64_t now_us);
+
+/// tt_admit_room - requests of the account that this daemon may have past the queue
+///
+/// RETURN     UINT32_MAX without a limit; else this daemon's part of it, at least 1 and at most
+///            the limit
+uint32_t tt_admit_room (const TtClientAccount *account);
+
+/// tt_admit_refuse - ends a request that has had no attempt
+///
+/// ARGUMENTS  reason: ends the sentence of the error's detail
+/// NOTES      "unknown" with an idempotency key: an earlier attempt under that key may have run
+void tt_admit_refuse (TtBoard *board, TtRequest *request, uint32_t status, uint32_t retry_after_ms,
+                      const char *reason);
+
+/// Puts an arrived request into the queue of its pool and priority, or sheds.
+void tt_admit_enqueue (TtBoard *board, TtRequest *request, int64_t now_us);
+
+/// Takes a request out of its queue; nothing if it is in none.
+void tt_admit_dequeue (TtBoard *board, TtRequest *request);
+
+/// Refuses the queued requests whose deadline has passed.
+void tt_admit_expire (TtBoard *board, int64_t now_us);
+
+/// Releases queued requests while the pools have free slots.
+void tt_admit_release (TtBoard *board, int64_t now_us);
--- /dev/null
+++ b/src/tarragontrack/control/admit_account.c
@@ -0,0 +1,228 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/admit.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define SUM_PERIOD_US (1 * TT_SECOND_US)
+#define PEER_EXPIRY_US (30 * TT_SECOND_US) // a count arrives every N/2 s among N daemons
+#define BURST_US (1 * TT_SECOND_US)        // of the rate that may start at once
+
+enum
+{
+  FINISH_TAGS = TT_MAX_SERVICES * TT_PRIORITY_COUNT // of one account
+};
+
+int
+tt_admit_open_accounts (TtBoard *board)
+{
+  TtAdmitSection *section = &board->admit;
+
+  section->max_accounts = board->config.max_accounts;
+  section->max_queued = board->config.max_requests;
+  tt_list_init (&section->accounts);
+  tt_list_init (&section->free_accounts);
+  for (int i = 0; i < TT_ACCOUNT_BUCKETS; i++)
+    tt_list_init (&section->buckets[i]);
+  section->pool = calloc (section->max_accounts, sizeof *section->pool);
+  section->virtual_finish
+      = calloc ((size_t) section->max_accounts * FINISH_TAGS, sizeof *section->virtual_finish);
+  section->peers = calloc (TT_ACCOUNT_PEERS, sizeof *section->peers);
+  if (section->pool == NULL || section->virtual_finish == NULL || section->peers == NULL)
+    return TT_E_NO_MEMORY;
+  for (uint32_t i = 0; i < section->max_accounts; i++)
+    tt_list_append (&section->free_accounts, &section->pool[i].link);
+  return TT_OK;
+}
+
+void
+tt_admit_close_accounts (TtBoard *board)
+{
+  free (board->admit.pool);
+  free (board->admit.virtual_finish);
+  free (board->admit.peers);
+}
+
+TtClientAccount *
+tt_admit_find_account (TtBoard *board, uint64_t team_id, uint64_t account_id)
+{
+  TT_LIST_FOREACH (&board->admit.buckets[account_id % TT_ACCOUNT_BUCKETS], it)
+    {
+      TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, bucket_link);
+
+      if (account->spec.id == account_id && account->team_id == team_id && !account->retired)
+        return account;
+    }
+  return NULL;
+}
+
+/// Takes a record for an account; NULL if max_accounts are in use.
+static TtClientAccount *
+new_account (TtBoard *board, uint64_t team_id, uint64_t account_id)
+{
+  TtAdmitSection *section = &board->admit;
+  TtLink *link = tt_list_pop (&section->free_accounts);
+  TtClientAccount *account;
+
+  if (link == NULL)
+    {
+      tt_board_count (board, TT_COUNT_POOL_FULL, 1);
+      return NULL;
+    }
+  account = TT_CONTAINER_OF (link, TtClientAccount, link);
+  memset (account, 0, sizeof *account);
+  account->team_id = team_id;
+  account->spec.id = account_id;
+  account->virtual_finish
+      = &section->virtual_finish[(size_t) (account - section->pool) * FINISH_TAGS];
+  memset (account->virtual_finish, 0, FINISH_TAGS * sizeof *account->virtual_finish);
+  tt_list_append (&section->accounts, &account->link);
+  tt_list_append (&section->buckets[account_id % TT_ACCOUNT_BUCKETS], &account->bucket_link);
+  return account;
+}
+
+/// Frees retired accounts without requests.
+static void
+free_retired (TtBoard *board)
+{
+  TtAdmitSection *section = &board->admit;
+
+  TT_LIST_FOREACH (&section->accounts, it)
+    {
+      TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
+
+      if (!account->retired || account->in_flight > 0 || account->queued > 0)
+        continue;
+      tt_list_remove (&section->buckets[account->spec.id % TT_ACCOUNT_BUCKETS],
+                      &account->bucket_link);
+      tt_list_remove (&section->accounts, &account->link);
+      tt_list_append (&section->free_accounts, &account->link);
+    }
+}
+
+void
+tt_admit_update_accounts (TtBoard *board)
+{
+  TT_LIST_FOREACH (&board->admit.accounts, it)
+    TT_CONTAINER_OF (it, TtClientAccount, link)->retired = true;
+  for (uint32_t i = 0; i < board->configuration.slot_count; i++)
+    {
+      const TtDocument *document = board->configuration.slots[i].document;
+
+      for (uint32_t a = 0; document != NULL && a < document->account_count; a++)
+        {
+          const TtAccountSpec *spec = &document->accounts[a];
+          TtClientAccount *account = NULL;
+
+          TT_LIST_FOREACH (&board->admit.buckets[spec->id % TT_ACCOUNT_BUCKETS], it)
+            {
+              TtClientAccount *known = TT_CONTAINER_OF (it, TtClientAccount, bucket_link);
+
+              if (known->spec.id == spec->id && known->team_id == document->team_id)
+                account = known;
+            }
+          if (account == NULL)
+            account = new_account (board, document->team_id, spec->id);
+          if (account == NULL)
+            continue;
+          account->spec = *spec;
+          account->retired = false;
+        }
+    }
+  free_retired (board);
+}
+
+void
+tt_admit_hear_accounts (TtBoard *board, const TtPeerGossip *gossip, int64_t now_us)
+{
+  uint64_t self_id = tt_hash_string (board->config.name);
+
+  for (uint32_t i = 0; i < gossip->account_count && i < TT_PEER_ACCOUNTS; i++)
+    {
+      const TtPeerAccount *peer = &gossip->accounts[i];
+      uint64_t slot = tt_hash_pair (peer->account_id, peer->member_id) % TT_ACCOUNT_PEERS;
+
+      if (peer->account_id == 0 || peer->member_id == self_id)
+        continue;
+      board->admit.peers[slot] = (TtAccountPeer){ .account_id = peer->account_id,
+                                                  .member_id = peer->member_id,
+                                                  .in_flight = peer->in_flight,
+                                                  .seen_us = now_us };
+    }
+}
+
+void
+tt_admit_sum_accounts (TtBoard *board, int64_t now_us)
+{
+  TtAdmitSection *section = &board->admit;
+
+  if (now_us < section->next_sum_us)
+    return;
+  section->next_sum_us = now_us + SUM_PERIOD_US;
+  free_retired (board);
+  TT_LIST_FOREACH (&section->accounts, it)
+    {
+      TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
+
+      account->fleet_in_flight = account->in_flight;
+    }
+  for (uint32_t i = 0; i < TT_ACCOUNT_PEERS; i++)
+    {
+      const TtAccountPeer *peer = &section->peers[i];
+
+      if (peer->account_id == 0 || now_us - peer->seen_us > PEER_EXPIRY_US)
+        continue;
+      TT_LIST_FOREACH (&section->buckets[peer->account_id % TT_ACCOUNT_BUCKETS], it)
+        {
+          TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, bucket_link);
+
+          if (account->spec.id == peer->account_id)
+            account->fleet_in_flight += peer->in_flight;
+        }
+    }
+}
+
+/// This daemon's part of the fleet's demand of an account, above 0 and at most 1.
+static double
+part_of (const TtClientAccount *account)
+{
+  double own = (double) account->in_flight + account->queued + 1.0;
+  double others = (double) account->fleet_in_flight - account->in_flight;
+
+  return others > 0.0 ? own / (own + others) : 1.0;
+}
+
+uint32_t
+tt_admit_take_rate (TtClientAccount *account, int64_t now_us)
+{
+  double rate = account->spec.requests_per_s * part_of (account);
+  double burst = rate * (double) BURST_US / (double) TT_SECOND_US;
+
+  if (account->spec.requests_per_s <= 0.0)
+    return 0;
+  if (burst < 1.0)
+    burst = 1.0;
+  if (account->refilled_us == 0)
+    account->allowance = burst;
+  else
+    account->allowance += rate * (double) (now_us - account->refilled_us) / (double) TT_SECOND_US;
+  account->refilled_us = now_us;
+  if (account->allowance > burst)
+    account->allowance = burst;
+  if (account->allowance < 1.0)
+    return 1 + (uint32_t) (1000.0 * (1.0 - account->allowance) / rate);
+  account->allowance -= 1.0;
+  return 0;
+}
+
+uint32_t
+tt_admit_room (const TtClientAccount *account)
+{
+  uint32_t limit = account->spec.max_in_flight;
+  uint32_t part;
+
+  if (limit == 0)
+    return UINT32_MAX;
+  part = (uint32_t) (limit * part_of (account));
+  return part > 0 ? part : 1;
+}
--- a/src/tarragontrack/control/drain.c
+++ b/src/tarragontrack/control/drain.c
@@ -1,16 +1,33 @@
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
 
+/// Longest wait for leases to be released and claims to be settled once no request is open.
+#define SETTLE_LIMIT_US (2 * TT_SECOND_US)
+
 /// Requests on the board that have no outcome yet.
 static bool
 has_open_requests (const TtBoard *board)
 {
-  for (int stage = TT_STAGE_ARRIVED; stage < TT_STAGE_COUNT; stage++)
+  for (int stage = TT_STAGE_ARRIVED; stage < TT_STAGE_FINISHED; stage++)
     if (board->requests.stages[stage].count > 0)
       return true;
   return false;
 }
 
+/// True while the platform still has to hear of something: an outcome or a released lease.
+static bool
+has_unsettled (const TtBoard *board)
+{
+  if (board->requests.stages[TT_STAGE_FINISHED].count > 0)
+    return true;
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    if (board->lease.leases[i].held)
+      return true;
+  return false;
+}
+
 static void
 set_ready (TtBoard *board, bool ready)
 {
@@ -24,6 +41,44 @@
     action->ready = ready;
 }
 
+/// Tells the daemons of the failure domain, so that they take back loans at once.
+static void
+send_leave (TtBoard *board)
+{
+  TT_LIST_FOREACH (&board->member.all, it)
+    {
+      const TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
+
+      if (!member->self && member->entry.domain_id == board->domain_id
+          && member->entry.state == TT_MEMBER_ALIVE)
+        (void) tt_board_send (board, member, TT_PEER_LEAVE);
+    }
+}
+
+/// Ends what is still open at the limit, with what is known of each request.
+static void
+end_requests (TtBoard *board)
+{
+  for (int stage = TT_STAGE_ARRIVED; stage < TT_STAGE_FINISHED; stage++)
+    TT_LIST_FOREACH (&board->requests.stages[stage], it)
+      {
+        TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+        bool keyed = !tt_id128_is_zero (request->spec.idempotency_key);
+        TtOutcome outcome = TT_OUTCOME_NOT_RUN;
+        TtError error = { 0 };
+
+        if (request->relayed)
+          outcome = TT_OUTCOME_CUT;
+        else if (request->attempt_count > 0 || (keyed && !request->idempotent))
+          outcome = TT_OUTCOME_UNKNOWN;
+        (void) tt_error_set (&error, TT_E_CANCELLED, TT_STEP_ADMIT, request->spec.service,
+                             "this router shuts down and its time limit has passed; %s",
+                             request->attempt_count > 0 ? "an attempt was sent"
+                                                        : "this attempt did not run");
+        tt_request_finish (board, request, outcome, 503, 1000, &error);
+      }
+}
+
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
@@ -35,6 +90,28 @@
   tt_board_log (board, TT_LOG_DRAIN_STARTED, "daemon=%s", board->config.name);
 }
 
+/// Follows the shutdown while new requests are refused.
+static void
+close_down (TtBoard *board, int64_t now_us)
+{
+  TtDrainSection *section = &board->drain;
+  int64_t limit_us = board->config.drain_limit_ms * TT_MILLISECOND_US;
+
+  if (limit_us > 0 && now_us - section->started_us >= limit_us)
+    end_requests (board);
+  if (has_open_requests (board))
+    {
+      section->idle_us = 0;
+      return;
+    }
+  if (section->idle_us == 0)
+    section->idle_us = now_us;
+  if (has_unsettled (board) && now_us - section->idle_us < SETTLE_LIMIT_US)
+    return;
+  section->state = TT_DRAIN_DONE;
+  (void) tt_board_act (board, TT_ACTION_EXIT);
+}
+
 static void
 run (void *context, TtBoard *board, int64_t now_us)
 {
@@ -44,12 +121,12 @@
   set_ready (board, section->state == TT_DRAIN_SERVING && board->configuration.complete);
   if (section->state == TT_DRAIN_ANNOUNCED
       && now_us - section->started_us >= board->config.drain_announce_ms * TT_MILLISECOND_US)
-    section->state = TT_DRAIN_CLOSING;
-  if (section->state == TT_DRAIN_CLOSING && !has_open_requests (board))
     {
-      section->state = TT_DRAIN_DONE;
-      (void) tt_board_act (board, TT_ACTION_EXIT);
+      section->state = TT_DRAIN_CLOSING;
+      send_leave (board);
     }
+  if (section->state == TT_DRAIN_CLOSING)
+    close_down (board, now_us);
 }
 
 TtController
--- a/src/tarragontrack/control/health.c
+++ b/src/tarragontrack/control/health.c
@@ -1,8 +1,390 @@
+#include "tarragontrack/control/health.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/progress.h"
+#include <stdlib.h>
+
+#define CHECK_PERIOD_US (250 * TT_MILLISECOND_US)
+#define FIRST_EJECTION_US (10 * TT_SECOND_US)
+#define CRASH_EJECTION_US (1 * TT_SECOND_US)
+#define IDLE_US (10 * TT_SECOND_US)    // estimates older than this decay to the median
+#define FORGIVE_US (60 * TT_SECOND_US) // healthy time after which ejections are forgotten
+#define FIRST_TOKEN_GAIN 0.1           // prompts vary in length, so single samples count little
+#define TOKEN_GAIN 0.02                // per token
+#define TOKEN_GAIN_MAX 0.5             // per event
+#define SAMPLE_CLIP 20.0               // multiple of the median at which a sample is cut
+#define SLOW_RATIO 1.5                 // above it the weight is reduced
+#define EJECT_TOKEN_RATIO 3.0          // time per token, as a multiple of the median
+#define EJECT_FIRST_RATIO 4.0          // time to first token; varies more with the prompt
+#define IDLE_DECAY 0.1                 // part of the distance to the median, per check
+#define MIN_FACTOR 0.1
+#define QUANTILE_STEP 0.05 // of the estimate, per sample
+
+enum
+{
+  MIN_SAMPLES = 4,         // fewer say nothing about a backend server
+  EJECT_CHECKS = 2,        // checks in a row before an ejection
+  EJECT_FAILURES = 2,      // failures in a row; a single one may be a stale connection
+  EJECT_DOUBLINGS_MAX = 4, // longest ejection is 16 times the first
+  OVERDUE_MIN = 2          // one late answer may be a long prompt
+};
+
+/// Adds one sample to an exponentially weighted mean.
+static void
+add_sample (double *mean, double sample, double gain, double median)
+{
+  if (median > 0.0 && sample > SAMPLE_CLIP * median)
+    sample = SAMPLE_CLIP * median;
+  *mean = *mean <= 0.0 ? sample : *mean + gain * (sample - *mean);
+}
+
+/// Follows the 95th percentile of the time to first token: up by 19 parts, down by one.
+static void
+follow_quantile (TtHealthPool *pool, double sample)
+{
+  double *estimate = &pool->p95_first_token_us;
+
+  if (*estimate <= 0.0)
+    *estimate = 2.0 * sample;
+  else
+    *estimate *= 1.0 + QUANTILE_STEP * (sample > *estimate ? 0.95 : -0.05);
+}
+
+/// Notes the time from dispatch to the first byte.
+static void
+sample_first (TtAttempt *attempt, uint32_t tokens, int64_t now_us)
+{
+  TtHealthBackend *health = &attempt->backend->health;
+  TtHealthPool *pool = &attempt->request->pool->health;
+  double elapsed_us = (double) (now_us - attempt->dispatched_us);
+
+  health->sampled_us = now_us;
+  health->samples++;
+  // An answer that comes in one piece says how long its tokens took, not when the first was ready.
+  if (tokens > 1 && !attempt->request->spec.stream)
+    {
+      add_sample (&health->per_token_us, elapsed_us / tokens, FIRST_TOKEN_GAIN,
+                  pool->median_per_token_us);
+      return;
+    }
+  add_sample (&health->first_token_us, elapsed_us, FIRST_TOKEN_GAIN, pool->median_first_token_us);
+  follow_quantile (pool, elapsed_us);
+}
+
+/// Notes lower bounds for the attempts that this answer makes losers.
+static void
+sample_losers (const TtAttempt *winner, int64_t now_us)
+{
+  const TtRequest *request = winner->request;
+
+  TT_LIST_FOREACH (&request->attempts, it)
+    {
+      TtAttempt *other = TT_CONTAINER_OF (it, TtAttempt, request_link);
+      double elapsed_us = (double) (now_us - other->dispatched_us);
+
+      if (other == winner || elapsed_us <= other->backend->health.first_token_us)
+        continue;
+      other->backend->health.samples++;
+      other->backend->health.sampled_us = now_us;
+      add_sample (&other->backend->health.first_token_us, elapsed_us, FIRST_TOKEN_GAIN,
+                  request->pool->health.median_first_token_us);
+    }
+}
+
+static void
+note_progress (TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
+{
+  TtHealthBackend *health = &attempt->backend->health;
+
+  health->failures = 0;
+  if (attempt->first_token_us == 0)
+    {
+      sample_first (attempt, event->tokens, now_us);
+      sample_losers (attempt, now_us);
+    }
+  else if (event->tokens > 0)
+    {
+      double gain = TOKEN_GAIN * event->tokens;
+
+      add_sample (&health->per_token_us, (double) (now_us - attempt->progress_us) / event->tokens,
+                  gain < TOKEN_GAIN_MAX ? gain : TOKEN_GAIN_MAX,
+                  attempt->request->pool->health.median_per_token_us);
+      health->sampled_us = now_us;
+    }
+}
+
+/// True if one more engine of the pool in this failure domain may be ejected: at most a third,
+/// and never the last.
+static bool
+may_eject (const TtBackendServer *backend)
+{
+  uint32_t live = 0;
+  uint32_t ejected = 0;
+
+  TT_LIST_FOREACH (&backend->pool->backends, it)
+    {
+      const TtBackendServer *other = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (other->domain_id != backend->domain_id || other->roster.state != TT_BACKEND_LIVE)
+        continue;
+      live++;
+      if (other->health.ejected)
+        ejected++;
+    }
+  return (ejected + 1) * 3 <= live && ejected + 1 < live;
+}
+
+static void
+eject_backend (TtBoard *board, TtBackendServer *backend, int64_t first_us, const char *cause,
+               int64_t now_us)
+{
+  TtHealthBackend *health = &backend->health;
+  uint32_t doublings
+      = health->ejections < EJECT_DOUBLINGS_MAX ? health->ejections : EJECT_DOUBLINGS_MAX;
+
+  if (health->ejected || backend->pool == NULL || !may_eject (backend))
+    return;
+  health->ejected = true;
+  health->ejections++;
+  health->ejected_until_us = now_us + first_us * (INT64_C (1) << doublings);
+  health->slow_checks = 0;
+  board->health.ejected_count++;
+  board->dirty = true;
+  tt_board_count (board, TT_COUNT_EJECTIONS, 1);
+  tt_board_log (board, TT_LOG_BACKEND_EJECTED,
+                "backend=%s cause=%s first_token_us=%.0f per_token_us=%.0f until_ms=%lld",
+                backend->name, cause, health->first_token_us, health->per_token_us,
+                (long long) ((health->ejected_until_us - now_us) / TT_MILLISECOND_US));
+}
+
+/// Ends an ejection; the old timings say nothing about the engine now.
+static void
+return_backend (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtHealthBackend *health = &backend->health;
+
+  health->ejected = false;
+  health->slow_start_us = now_us;
+  health->first_token_us = 0.0;
+  health->per_token_us = 0.0;
+  health->samples = 0;
+  health->failures = 0;
+  health->factor = MIN_FACTOR;
+  board->health.ejected_count--;
+  board->dirty = true;
+  tt_board_log (board, TT_LOG_BACKEND_RETURNED, "backend=%s", backend->name);
+}
+
+/// Notes a failed attempt; the first sign of a crash is counted and logged once.
+static void
+note_failure (TtBoard *board, const TtAttempt *attempt, const TtEvent *event, int64_t now_us)
+{
+  TtBackendServer *backend = attempt->backend;
+  TtHealthBackend *health = &backend->health;
+
+  health->failures++;
+  if (event->error.code == TT_E_CRASHED
+      && (health->crash_us == 0 || now_us - health->crash_us > TT_HEALTH_CRASH_WINDOW_US))
+    {
+      health->crash_us = now_us;
+      health->crash_suspects = 0;
+      TT_LIST_FOREACH (&backend->attempts, it)
+        if (TT_CONTAINER_OF (it, TtAttempt, backend_link)->request->poison.suspect)
+          health->crash_suspects++;
+      tt_board_count (board, TT_COUNT_CRASHES, 1);
+      tt_board_log (board, TT_LOG_BACKEND_CRASHED, "backend=%s in_flight=%u suspects=%u",
+                    backend->name, backend->attempts.count, health->crash_suspects);
+    }
+  if (health->failures >= EJECT_FAILURES)
+    eject_backend (board, backend, CRASH_EJECTION_US, "failures", now_us);
+}
+
+/// Orders two times.
+static int
+compare_times (const void *first, const void *second)
+{
+  double a = *(const double *) first;
+  double b = *(const double *) second;
+
+  return (a > b) - (a < b);
+}
+
+/// Lower median, so that of two engines the slower one stands out; 0 without values.
+static double
+median_of (double *values, uint32_t count)
+{
+  if (count == 0)
+    return 0.0;
+  qsort (values, count, sizeof *values, compare_times);
+  return values[(count - 1) / 2];
+}
+
+static void
+update_medians (TtPool *pool)
+{
+  double first[TT_MAX_BACKENDS];
+  double token[TT_MAX_BACKENDS];
+  uint32_t first_count = 0;
+  uint32_t token_count = 0;
+
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (backend->health.ejected || backend->health.samples < MIN_SAMPLES)
+        continue;
+      if (backend->health.first_token_us > 0.0)
+        first[first_count++] = backend->health.first_token_us;
+      if (backend->health.per_token_us > 0.0)
+        token[token_count++] = backend->health.per_token_us;
+    }
+  pool->health.median_first_token_us = median_of (first, first_count);
+  pool->health.median_per_token_us = median_of (token, token_count);
+}
+
+/// Second longest wait for a first token among the open attempts; 0 if fewer wait.
+static double
+overdue_us (const TtBackendServer *backend, int64_t now_us)
+{
+  double longest = 0.0;
+  double second = 0.0;
+  uint32_t waiting = 0;
+
+  TT_LIST_FOREACH (&backend->attempts, it)
+    {
+      const TtAttempt *attempt = TT_CONTAINER_OF (it, TtAttempt, backend_link);
+      double elapsed_us = (double) (now_us - attempt->dispatched_us);
+
+      if (attempt->first_token_us != 0 || !attempt->request->spec.stream)
+        continue;
+      waiting++;
+      if (elapsed_us > longest)
+        {
+          second = longest;
+          longest = elapsed_us;
+        }
+      else if (elapsed_us > second)
+        second = elapsed_us;
+    }
+  return waiting >= OVERDUE_MIN ? second : 0.0;
+}
+
+/// Moves the estimates of an idle backend server towards the median.
+static void
+decay_idle (TtHealthBackend *health, const TtHealthPool *pool, int64_t now_us)
+{
+  if (now_us - health->sampled_us < IDLE_US)
+    return;
+  health->first_token_us += IDLE_DECAY * (pool->median_first_token_us - health->first_token_us);
+  health->per_token_us += IDLE_DECAY * (pool->median_per_token_us - health->per_token_us);
+}
+
+/// Compares one backend server with the medians; sets its factor, ejects and returns it.
+static void
+check_backend (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtHealthBackend *health = &backend->health;
+  const TtHealthPool *pool = &backend->pool->health;
+  double first = 0.0;
+  double token = 0.0;
+  double overdue = overdue_us (backend, now_us);
+  double ratio;
+
+  if (health->ejected)
+    {
+      if (now_us >= health->ejected_until_us)
+        return_backend (board, backend, now_us);
+      return;
+    }
+  decay_idle (health, pool, now_us);
+  if (pool->median_first_token_us > 0.0)
+    first = (overdue > health->first_token_us ? overdue : health->first_token_us)
+            / pool->median_first_token_us;
+  if (pool->median_per_token_us > 0.0)
+    token = health->per_token_us / pool->median_per_token_us;
+  ratio = first > token ? first : token;
+  health->factor = ratio > SLOW_RATIO ? 1.0 / ratio : 1.0;
+  if (health->slow_start_us != 0)
+    {
+      double grown = (double) (now_us - health->slow_start_us) / (double) TT_HEALTH_SLOW_START_US;
+
+      if (grown >= 1.0)
+        health->slow_start_us = 0;
+      else
+        health->factor *= grown;
+    }
+  if (health->factor < MIN_FACTOR)
+    health->factor = MIN_FACTOR;
+  if (health->ejections > 0 && now_us - health->ejected_until_us > FORGIVE_US)
+    health->ejections = 0;
+  if ((first < EJECT_FIRST_RATIO && token < EJECT_TOKEN_RATIO)
+      || (health->samples < MIN_SAMPLES && overdue <= 0.0))
+    health->slow_checks = 0;
+  else if (++health->slow_checks >= EJECT_CHECKS)
+    eject_backend (board, backend, FIRST_EJECTION_US, "slow", now_us);
+}
+
+/// Counts silent connections as failures, before `retry` closes them in the same step.
+static void
+note_silence (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_RUNNING], it)
+    {
+      const TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      TT_LIST_FOREACH (&request->attempts, a)
+        {
+          TtAttempt *attempt = TT_CONTAINER_OF (a, TtAttempt, request_link);
+
+          if (!tt_attempt_is_silent (attempt, now_us))
+            continue;
+          if (++attempt->backend->health.failures >= EJECT_FAILURES)
+            eject_backend (board, attempt->backend, CRASH_EJECTION_US, "silent", now_us);
+        }
+    }
+}
+
+static void
+check_pools (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+
+      if (now_us < pool->health.next_check_us)
+        continue;
+      pool->health.next_check_us = now_us + CHECK_PERIOD_US;
+      update_medians (pool);
+      TT_LIST_FOREACH (&pool->backends, b)
+        check_backend (board, TT_CONTAINER_OF (b, TtBackendServer, pool_link), now_us);
+    }
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  TtAttempt *attempt;
+
+  (void) context;
+  if (event->type == TT_EVENT_TICK)
+    {
+      note_silence (board, now_us);
+      check_pools (board, now_us);
+    }
+  if (event->type < TT_EVENT_ATTEMPT_PROGRESS || event->type > TT_EVENT_ATTEMPT_FAILED)
+    return;
+  attempt = tt_attempt_find (board, event->attempt.attempt_id);
+  if (attempt == NULL || attempt->request->pool == NULL)
+    return;
+  if (event->type == TT_EVENT_ATTEMPT_FAILED)
+    note_failure (board, attempt, event, now_us);
+  else
+    note_progress (attempt, &event->attempt, now_us);
+}
 
 TtController
 tt_health_controller (void)
 {
-  return (TtController){ .name = "health" };
+  return (TtController){ .name = "health", .on_event = on_event };
 }
--- a/src/tarragontrack/control/poison.c
+++ b/src/tarragontrack/control/poison.c
@@ -1,8 +1,273 @@
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/health.h"
+#include <stdlib.h>
+
+#define BLOCK_US (600 * TT_SECOND_US)
+
+enum
+{
+  BLOCK_STRIKES = 2 // crashes of different backend servers without a success in between
+};
+
+static int
+open_poison (void *context, TtBoard *board)
+{
+  TtPoisonSection *section = &board->poison;
+
+  (void) context;
+  tt_list_init (&section->suspects);
+  tt_list_init (&section->heard);
+  tt_list_init (&section->free);
+  for (int i = 0; i < TT_SUSPECT_BUCKETS; i++)
+    tt_list_init (&section->buckets[i]);
+  section->pool = calloc (TT_MAX_SUSPECTS, sizeof *section->pool);
+  if (section->pool == NULL)
+    return TT_E_NO_MEMORY;
+  for (uint32_t i = 0; i < TT_MAX_SUSPECTS; i++)
+    tt_list_append (&section->free, &section->pool[i].link);
+  return TT_OK;
+}
+
+static void
+close_poison (void *context, TtBoard *board)
+{
+  (void) context;
+  free (board->poison.pool);
+}
+
+static TtSuspect *
+find_suspect (TtBoard *board, uint64_t fingerprint)
+{
+  TT_LIST_FOREACH (&board->poison.buckets[fingerprint % TT_SUSPECT_BUCKETS], it)
+    {
+      TtSuspect *suspect = TT_CONTAINER_OF (it, TtSuspect, bucket_link);
+
+      if (suspect->fingerprint == fingerprint)
+        return suspect;
+    }
+  return NULL;
+}
+
+/// List that a suspect is on.
+static TtList *
+list_of (TtBoard *board, const TtSuspect *suspect)
+{
+  return suspect->heard ? &board->poison.heard : &board->poison.suspects;
+}
+
+static void
+free_suspect (TtBoard *board, TtSuspect *suspect)
+{
+  TtPoisonSection *section = &board->poison;
+
+  tt_list_remove (list_of (board, suspect), &suspect->link);
+  tt_list_remove (&section->buckets[suspect->fingerprint % TT_SUSPECT_BUCKETS],
+                  &suspect->bucket_link);
+  tt_list_append (&section->free, &suspect->link);
+}
+
+/// Takes a record; replaces the oldest, first of those known from gossip only.
+static TtSuspect *
+new_suspect (TtBoard *board, uint64_t fingerprint, bool heard)
+{
+  TtPoisonSection *section = &board->poison;
+  TtSuspect *suspect;
+
+  if (tt_list_first (&section->free) == NULL)
+    {
+      TtList *list = section->heard.count > 0 ? &section->heard : &section->suspects;
+
+      free_suspect (board, TT_CONTAINER_OF (list->head.prev, TtSuspect, link));
+      tt_board_count (board, TT_COUNT_POOL_FULL, 1);
+    }
+  suspect = TT_CONTAINER_OF (tt_list_pop (&section->free), TtSuspect, link);
+  *suspect = (TtSuspect){ .fingerprint = fingerprint, .heard = heard };
+  tt_link_init (&suspect->link);
+  tt_link_init (&suspect->bucket_link);
+  tt_list_prepend (list_of (board, suspect), &suspect->link);
+  tt_list_append (&section->buckets[fingerprint % TT_SUSPECT_BUCKETS], &suspect->bucket_link);
+  return suspect;
+}
+
+/// Stops a request whose fingerprint is blocked.
+static void
+stop_request (TtBoard *board, TtRequest *request, const TtSuspect *suspect)
+{
+  TtError error = { 0 };
+
+  request->poison.blocked = true;
+  tt_board_count (board, TT_COUNT_BLOCKED, 1);
+  (void) tt_error_set (&error, TT_E_CRASHED, TT_STEP_ADMIT, request->spec.service,
+                       "stopped after crashes; earlier attempts ran %u times", suspect->runs);
+  // "unknown", because the earlier attempts with this body did run.
+  tt_request_finish (board, request, TT_OUTCOME_UNKNOWN, 422, 0, &error);
+}
+
+/// Tells the waiting requests with the fingerprint of a new or blocked suspect.
+static void
+mark_waiting (TtBoard *board, const TtSuspect *suspect)
+{
+  static const TtStage stages[] = { TT_STAGE_QUEUED, TT_STAGE_CLAIMING, TT_STAGE_READY };
+
+  for (size_t i = 0; i < sizeof stages / sizeof stages[0]; i++)
+    TT_LIST_FOREACH (&board->requests.stages[stages[i]], it)
+      {
+        TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+        if (request->poison.fingerprint != suspect->fingerprint)
+          continue;
+        request->poison.suspect = true;
+        if (suspect->blocked_until_us != 0 && stages[i] != TT_STAGE_CLAIMING)
+          stop_request (board, request, suspect);
+      }
+}
+
+/// Adds a strike for an attempt that ran on a backend server when it crashed.
+///
+/// The second strike counts only for an attempt that was dispatched as a suspect and shared the
+/// engine with no other suspect: otherwise a request that twice ran beside the cause would be
+/// blocked with it.
+static void
+strike (TtBoard *board, const TtAttempt *attempt, int64_t now_us)
+{
+  uint64_t fingerprint = attempt->request->poison.fingerprint;
+  const TtBackendServer *backend = attempt->backend;
+  TtSuspect *suspect = find_suspect (board, fingerprint);
+
+  if (suspect == NULL)
+    {
+      suspect = new_suspect (board, fingerprint, false);
+      suspect->strikes = 1;
+    }
+  else if (suspect->last_backend_id != backend->id && attempt->dispatched_us >= suspect->struck_us
+           && backend->health.crash_suspects < 2)
+    suspect->strikes++;
+  suspect->runs++;
+  suspect->last_backend_id = backend->id;
+  suspect->struck_us = now_us;
+  tt_list_remove (list_of (board, suspect), &suspect->link);
+  suspect->heard = false;
+  tt_list_prepend (&board->poison.suspects, &suspect->link);
+  attempt->request->poison.suspect = true;
+  if (suspect->strikes >= BLOCK_STRIKES)
+    suspect->blocked_until_us = now_us + BLOCK_US;
+  mark_waiting (board, suspect);
+  if (suspect->blocked_until_us == 0)
+    return;
+  attempt->request->poison.blocked = true;
+  tt_board_log (board, TT_LOG_REQUEST_BLOCKED, "account=%s fingerprint=%016llx runs=%u",
+                attempt->request->spec.account, (unsigned long long) fingerprint, suspect->runs);
+}
+
+/// Takes over the strikes that another daemon of the failure domain reports.
+static void
+hear_suspects (TtBoard *board, const TtPeerGossip *gossip, int64_t now_us)
+{
+  for (uint32_t i = 0; i < gossip->suspect_count && i < TT_PEER_SUSPECTS; i++)
+    {
+      const TtPeerSuspect *peer = &gossip->suspects[i];
+      TtSuspect *suspect = find_suspect (board, peer->fingerprint);
+
+      if (peer->fingerprint == 0 || peer->strikes == 0)
+        continue;
+      if (suspect == NULL)
+        {
+          suspect = new_suspect (board, peer->fingerprint, true);
+          suspect->struck_us = now_us;
+        }
+      if (suspect->strikes >= peer->strikes)
+        continue;
+      suspect->strikes = peer->strikes;
+      suspect->last_backend_id = peer->backend_id;
+      if (suspect->runs < peer->strikes)
+        suspect->runs = peer->strikes;
+      if (suspect->strikes >= BLOCK_STRIKES)
+        suspect->blocked_until_us = now_us + BLOCK_US;
+      mark_waiting (board, suspect);
+    }
+}
+
+/// Forgets suspects of one list whose time has passed.
+static void
+expire_suspects (TtBoard *board, TtList *list, int64_t now_us)
+{
+  TT_LIST_FOREACH (list, it)
+    {
+      TtSuspect *suspect = TT_CONTAINER_OF (it, TtSuspect, link);
+
+      if (now_us - suspect->struck_us > BLOCK_US && now_us >= suspect->blocked_until_us)
+        free_suspect (board, suspect);
+    }
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  TtAttempt *attempt;
+  TtSuspect *suspect;
+
+  (void) context;
+  if (event->type == TT_EVENT_TICK)
+    {
+      expire_suspects (board, &board->poison.suspects, now_us);
+      expire_suspects (board, &board->poison.heard, now_us);
+    }
+  if (event->type == TT_EVENT_PEER && event->peer->type == TT_PEER_GOSSIP)
+    hear_suspects (board, &event->peer->gossip, now_us);
+  if (event->type != TT_EVENT_ATTEMPT_DONE && event->type != TT_EVENT_ATTEMPT_FAILED)
+    return;
+  attempt = tt_attempt_find (board, event->attempt.attempt_id);
+  if (attempt == NULL)
+    return;
+  if (event->type == TT_EVENT_ATTEMPT_FAILED)
+    {
+      if (event->error.code == TT_E_CRASHED && event->attempt.sent)
+        strike (board, attempt, now_us);
+      return;
+    }
+  suspect = find_suspect (board, attempt->request->poison.fingerprint);
+  if (suspect != NULL && event->attempt.status < 500)
+    free_suspect (board, suspect);
+}
+
+/// Looks up an arrived request; stops it while its fingerprint is blocked.
+static void
+check_request (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  const TtSuspect *suspect;
+
+  request->poison.checked = true;
+  request->poison.fingerprint
+      = tt_hash_pair (tt_hash_string (request->spec.account), request->spec.body_hash);
+  suspect = find_suspect (board, request->poison.fingerprint);
+  if (suspect == NULL)
+    return;
+  request->poison.suspect = true;
+  if (suspect->blocked_until_us > now_us)
+    stop_request (board, request, suspect);
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context;
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_ARRIVED], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      if (!request->poison.checked)
+        check_request (board, request, now_us);
+    }
+}
 
 TtController
 tt_poison_controller (void)
 {
-  return (TtController){ .name = "poison" };
+  return (TtController){
+    .name = "poison", .open = open_poison, .close = close_poison, .on_event = on_event, .run = run
+  };
 }
--- a/src/tarragontrack/control/retry.c
+++ b/src/tarragontrack/control/retry.c
@@ -1,8 +1,16 @@
+#include "tarragontrack/control/retry.h"
 #include "tarragontrack/board/board.h"
-#include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
 
+static int
+open_retry (void *context, TtBoard *board)
+{
+  (void) context;
+  board->retry.tokens = TT_RETRY_BUDGET_START;
+  return TT_OK;
+}
+
 /// Lets the first attempt with an answer win, and cancels the others.
 static void
 choose_winner (TtBoard *board, TtAttempt *attempt)
@@ -18,7 +26,8 @@
   if (action != NULL)
     action->attempt = (TtAttemptAction){ .request_id = request->spec.request_id,
                                          .attempt_id = attempt->id,
-                                         .backend_id = attempt->backend->id };
+                                         .backend_id = attempt->backend->id,
+                                         .resume_from = attempt->resume_from };
   TT_LIST_FOREACH (&request->attempts, it)
     {
       TtAttempt *other = TT_CONTAINER_OF (it, TtAttempt, request_link);
@@ -28,10 +37,32 @@
     }
 }
 
-/// Notes progress of an attempt.
+/// Notes that bytes of the request may have reached a backend server.
+static void
+note_sent (TtRequest *request)
+{
+  request->retry.sent = true;
+  if (request->claim.step != TT_CLAIM_STEP_NONE)
+    request->claim.sent = true;
+}
+
+/// Each request adds its part to the budget of second attempts, once.
+static void
+earn_budget (TtBoard *board, TtRequest *request)
+{
+  if (request->retry.counted)
+    return;
+  request->retry.counted = true;
+  board->retry.tokens += TT_RETRY_BUDGET;
+  if (board->retry.tokens > TT_RETRY_BUDGET_MAX)
+    board->retry.tokens = TT_RETRY_BUDGET_MAX;
+}
+
+/// Notes part of an answer.
 static void
 note_progress (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
 {
+  note_sent (attempt->request);
   choose_winner (board, attempt);
   if (attempt->first_token_us == 0)
     attempt->first_token_us = now_us;
@@ -42,61 +73,82 @@
   tt_board_count (board, TT_COUNT_TOKENS, event->tokens);
 }
 
-/// Ends the request of a failed attempt.
+/// Ends a request whose whole answer arrived.
 static void
-fail_attempt (TtBoard *board, TtAttempt *attempt, const TtEvent *event)
+complete_request (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
 {
   TtRequest *request = attempt->request;
-  TtOutcome outcome = TT_OUTCOME_NOT_RUN;
 
-  if (request->relayed)
-    outcome = TT_OUTCOME_CUT;
-  else if (event->attempt.sent)
-    outcome = TT_OUTCOME_UNKNOWN;
+  note_progress (board, attempt, event, now_us);
   tt_attempt_close (board, attempt);
-  if (request->attempts.count == 0)
-    tt_request_finish (board, request, outcome, 502, 0, &event->error);
+  tt_request_finish (board, request, TT_OUTCOME_COMPLETE, event->status, 0, NULL);
+}
+
+static void
+fail_attempt (TtBoard *board, TtAttempt *attempt, const TtEvent *event, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+
+  if (event->attempt.sent || attempt->state != TT_ATTEMPT_OPEN)
+    note_sent (request);
+  request->retry.last_backend_id = attempt->backend->id;
+  tt_attempt_close (board, attempt);
+  tt_retry_end_attempt (board, request, &event->error, now_us);
+}
+
+/// Ends the work for a caller that went away. What must not repeat runs to its end, so that its
+/// outcome can be recorded, unless it has not begun.
+static void
+caller_closed (TtBoard *board, uint64_t request_id)
+{
+  TtRequest *request = tt_request_find (board, request_id);
+
+  if (request == NULL || request->outcome != TT_OUTCOME_NONE)
+    return;
+  if (request->idempotent)
+    tt_request_finish (board, request,
+                       request->attempt_count > 0 ? TT_OUTCOME_CUT : TT_OUTCOME_NOT_RUN, 499, 0,
+                       NULL);
+  else if (request->stage == TT_STAGE_QUEUED)
+    tt_request_finish (board, request, TT_OUTCOME_UNKNOWN, 499, 0, NULL);
 }
 
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
   TtAttempt *attempt;
-  TtRequest *request;
 
   (void) context;
   if (event->type == TT_EVENT_CALLER_CLOSED)
-    {
-      request = tt_request_find (board, event->request_id);
-      if (request != NULL && request->idempotent)
-        tt_request_finish (board, request, TT_OUTCOME_CUT, 499, 0, NULL);
-      return;
-    }
+    caller_closed (board, event->request_id);
+  if (event->type == TT_EVENT_TICK)
+    tt_retry_check (board, now_us);
   if (event->type < TT_EVENT_ATTEMPT_SENT || event->type > TT_EVENT_ATTEMPT_FAILED)
     return;
   attempt = tt_attempt_find (board, event->attempt.attempt_id);
   if (attempt == NULL)
     {
-      tt_board_count (board, TT_COUNT_LATE_ANSWERS, 1);
+      if (event->type == TT_EVENT_ATTEMPT_PROGRESS || event->type == TT_EVENT_ATTEMPT_DONE)
+        tt_board_count (board, TT_COUNT_LATE_ANSWERS, 1);
       return;
     }
-  if (event->type == TT_EVENT_ATTEMPT_SENT && attempt->state == TT_ATTEMPT_OPEN)
-    attempt->state = TT_ATTEMPT_SENT;
-  else if (event->type == TT_EVENT_ATTEMPT_PROGRESS)
+  earn_budget (board, attempt->request);
+  if (event->type == TT_EVENT_ATTEMPT_PROGRESS)
     note_progress (board, attempt, &event->attempt, now_us);
-  else if (event->type == TT_EVENT_ATTEMPT_FAILED)
-    fail_attempt (board, attempt, event);
   else if (event->type == TT_EVENT_ATTEMPT_DONE)
+    complete_request (board, attempt, &event->attempt, now_us);
+  else if (event->type == TT_EVENT_ATTEMPT_FAILED)
+    fail_attempt (board, attempt, event, now_us);
+  else
     {
-      request = attempt->request;
-      choose_winner (board, attempt);
-      tt_attempt_close (board, attempt);
-      tt_request_finish (board, request, TT_OUTCOME_COMPLETE, event->attempt.status, 0, NULL);
+      note_sent (attempt->request);
+      if (attempt->state == TT_ATTEMPT_OPEN)
+        attempt->state = TT_ATTEMPT_SENT;
     }
 }
 
 TtController
 tt_retry_controller (void)
 {
-  return (TtController){ .name = "retry", .on_event = on_event };
+  return (TtController){ .name = "retry", .open = open_retry, .on_event = on_event };
 }
--- /dev/null
+++ b/src/tarragontrack/control/retry_second.c
@@ -0,0 +1,238 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/progress.h"
+#include "tarragontrack/control/retry.h"
+
+#define BACKOFF_US (20 * TT_MILLISECOND_US) // before the first retry; doubles with each
+#define RETRY_WAIT_US (5 * TT_SECOND_US)    // longest wait of a retry for a backend server
+#define HEDGE_RESERVE 5.0                   // part of the budget kept for retries
+#define HEDGE_DELAY_MIN 1.5                 // multiple of the median time to first token
+#define HEDGE_DELAY_MAX 3.0                 // caps the 95th percentile, which stragglers raise
+#define MOVE_TOKENS_MIN 32                  // fewer remaining tokens are not worth a new prefill
+
+enum
+{
+  MAX_RETRIES = 3, // of one request
+  RETRY_AFTER_MS = 1000
+};
+
+/// True if part of the answer was relayed and the rest can come from another engine.
+static bool
+is_resumable (const TtRequest *request)
+{
+  return request->idempotent && request->spec.stream && request->relayed_tokens > 0
+         && request->pool->spec.type == TT_SERVICE_MODEL;
+}
+
+/// True if a further attempt does no harm.
+static bool
+may_repeat (const TtRequest *request, int64_t now_us)
+{
+  if (request->poison.blocked || request->retry.retries >= MAX_RETRIES)
+    return false;
+  if (request->relayed)
+    return is_resumable (request);
+  if (request->idempotent)
+    return true;
+  return !request->retry.sent
+         && (request->claim.step != TT_CLAIM_STEP_OWNED || now_us < request->claim.owned_until_us);
+}
+
+/// Ends a request that gets no further attempt, with what is known of those it had.
+static void
+end_request (TtBoard *board, TtRequest *request, const TtError *error)
+{
+  uint32_t status = error->code == TT_E_TIMEOUT ? 504 : 502;
+  TtOutcome outcome = TT_OUTCOME_NOT_RUN;
+
+  if (request->relayed)
+    outcome = TT_OUTCOME_CUT;
+  else if (request->retry.sent)
+    outcome = TT_OUTCOME_UNKNOWN;
+  if (request->poison.blocked)
+    {
+      status = 422;
+      tt_board_count (board, TT_COUNT_BLOCKED, 1);
+    }
+  if (outcome != TT_OUTCOME_NOT_RUN)
+    tt_board_log (board, outcome == TT_OUTCOME_CUT ? TT_LOG_REQUEST_CUT : TT_LOG_REQUEST_UNKNOWN,
+                  "request=%llu service=%s attempts=%u %s",
+                  (unsigned long long) request->spec.request_id, request->spec.service,
+                  request->attempt_count, error->detail);
+  tt_request_finish (board, request, outcome, status,
+                     outcome == TT_OUTCOME_NOT_RUN ? RETRY_AFTER_MS : 0, error);
+}
+
+/// Puts a request before `place` again.
+static void
+repeat_request (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  TtRetryRequest *retry = &request->retry;
+
+  board->retry.tokens -= 1.0;
+  retry->not_before_us = now_us + BACKOFF_US * (INT64_C (1) << retry->retries);
+  retry->retries++;
+  retry->wait_until_us = now_us + RETRY_WAIT_US;
+  // The deadline for the start is answered "not run"; that is no longer true.
+  if (retry->sent)
+    request->deadline_us = INT64_MAX;
+  tt_board_count (board, TT_COUNT_RETRIES, 1);
+  tt_request_set_stage (board, request, TT_STAGE_READY);
+}
+
+void
+tt_retry_end_attempt (TtBoard *board, TtRequest *request, const TtError *error, int64_t now_us)
+{
+  TtError stopped = *error;
+
+  if (request->attempts.count > 0 || request->outcome != TT_OUTCOME_NONE)
+    return;
+  if (request->poison.blocked)
+    (void) tt_error_set (&stopped, TT_E_CRASHED, TT_STEP_RECEIVE, request->spec.service,
+                         "stopped after crashes; %u attempts ran", request->attempt_count);
+  if (may_repeat (request, now_us) && board->retry.tokens >= 1.0)
+    repeat_request (board, request, now_us);
+  else
+    end_request (board, request, &stopped);
+}
+
+/// Closes an attempt without progress.
+static void
+end_silent (TtBoard *board, TtAttempt *attempt, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+  TtError error = { 0 };
+
+  (void) tt_error_set (&error, TT_E_TIMEOUT, TT_STEP_RECEIVE, attempt->backend->name,
+                       "no progress for %lld ms",
+                       (long long) ((now_us - attempt->progress_us) / TT_MILLISECOND_US));
+  tt_board_log (board, TT_LOG_CONNECTION_SILENT, "backend=%s request=%llu %s",
+                attempt->backend->name, (unsigned long long) request->spec.request_id,
+                error.detail);
+  // Without word from the connection it is not known whether bytes left.
+  request->retry.sent = true;
+  if (request->claim.step != TT_CLAIM_STEP_NONE)
+    request->claim.sent = true;
+  request->retry.last_backend_id = attempt->backend->id;
+  tt_attempt_cancel (board, attempt);
+  tt_retry_end_attempt (board, request, &error, now_us);
+}
+
+/// Time to wait for the first token before a hedge; 0 while it is not known.
+static double
+hedge_delay_us (const TtRequest *request)
+{
+  const TtHealthPool *health = &request->pool->health;
+  double delay = health->p95_first_token_us;
+  double median = health->median_first_token_us;
+
+  if (median <= 0.0)
+    return 0.0;
+  if (delay < HEDGE_DELAY_MIN * median)
+    delay = HEDGE_DELAY_MIN * median;
+  if (delay > HEDGE_DELAY_MAX * median)
+    delay = HEDGE_DELAY_MAX * median;
+  if (!request->spec.stream)
+    delay += HEDGE_DELAY_MIN * request->length.predicted_tokens * health->median_per_token_us;
+  return delay;
+}
+
+/// The least loaded engine of the own failure domain with room, other than @open; NULL if none.
+static TtBackendServer *
+hedge_backend (const TtBoard *board, const TtAttempt *open, int64_t now_us)
+{
+  TtBackendServer *best = NULL;
+  double best_load = 0.0;
+
+  TT_LIST_FOREACH (&open->request->pool->backends, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+      uint32_t limit = tt_backend_limit (backend, now_us);
+      double load;
+
+      if (backend == open->backend || backend->domain_id != board->domain_id
+          || backend->roster.state != TT_BACKEND_LIVE || backend->attempts.count >= limit
+          || backend->health.factor < 1.0)
+        continue;
+      load = (double) backend->attempts.count / limit;
+      if (best == NULL || load < best_load)
+        {
+          best = backend;
+          best_load = load;
+        }
+    }
+  return best;
+}
+
+/// Opens a second attempt beside one whose first token is late.
+static void
+hedge_attempt (TtBoard *board, TtAttempt *attempt, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+  double delay = hedge_delay_us (request);
+  TtBackendServer *backend;
+
+  if (!request->idempotent || request->poison.suspect || request->retry.hedges > 0
+      || request->attempts.count != 1 || request->relayed || delay <= 0.0
+      || (double) (now_us - attempt->dispatched_us) < delay
+      || board->retry.tokens < 1.0 + HEDGE_RESERVE)
+    return;
+  backend = hedge_backend (board, attempt, now_us);
+  if (backend == NULL || tt_attempt_new (board, request, backend, true, now_us) == NULL)
+    return;
+  board->retry.tokens -= 1.0;
+  request->retry.hedges++;
+  tt_board_count (board, TT_COUNT_HEDGES, 1);
+}
+
+/// Moves a stream off an ejected engine if enough of its answer is still to come.
+static bool
+move_stream (TtBoard *board, TtAttempt *attempt, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+
+  if (!attempt->backend->health.ejected || !is_resumable (request) || request->poison.suspect
+      || request->retry.retries > 0 || request->attempts.count != 1
+      || request->relayed_tokens + MOVE_TOKENS_MIN > request->length.predicted_tokens
+      || board->retry.tokens < 1.0 + HEDGE_RESERVE)
+    return false;
+  request->retry.last_backend_id = attempt->backend->id;
+  tt_attempt_cancel (board, attempt);
+  repeat_request (board, request, now_us);
+  request->retry.not_before_us = now_us;
+  return true;
+}
+
+static void
+check_attempt (TtBoard *board, TtAttempt *attempt, int64_t now_us)
+{
+  if (tt_attempt_is_silent (attempt, now_us))
+    end_silent (board, attempt, now_us);
+  else if (!move_stream (board, attempt, now_us) && attempt->first_token_us == 0)
+    hedge_attempt (board, attempt, now_us);
+}
+
+void
+tt_retry_check (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_RUNNING], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      // A hedge opened here is added at the end of the list and is too young to be changed.
+      TT_LIST_FOREACH (&request->attempts, a)
+        check_attempt (board, TT_CONTAINER_OF (a, TtAttempt, request_link), now_us);
+    }
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_READY], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+      TtError error = { 0 };
+
+      if (request->retry.wait_until_us == 0 || now_us < request->retry.wait_until_us)
+        continue;
+      (void) tt_error_set (&error, TT_E_TIMEOUT, TT_STEP_PLACE, request->spec.service,
+                           "no backend server had room for another attempt");
+      end_request (board, request, &error);
+    }
+}
