--- /dev/null
+++ b/test/control/drain_test.c
@@ -0,0 +1,107 @@
+#include "support/drive.h"
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/request.h"
+
+#define T0 (100 * TT_SECOND_US)
+
+/// A board with one engine, one open stream and one queued request that is told to stop.
+static TtBoard *
+open_draining (TtAttemptAction *open, uint32_t limit_ms)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+  TtEvent drain = { .type = TT_EVENT_DRAIN };
+
+  world_start (board, 1, T0);
+  (void) drive_batch (board, 1);
+  board->config.drain_announce_ms = 1000;
+  board->config.drain_limit_ms = limit_ms;
+  (void) drive_request (board, "small", "", 1, T0);
+  (void) drive_request (board, "small", "", 2, T0);
+  *open = drive_dispatch (board);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, open->attempt_id, 5, T0);
+  tt_board_step (board, &drain, T0);
+  return board;
+}
+
+/// Guards against a shutdown that cuts streams, loses queued work, refuses work the balancer still
+/// sends, or never ends.
+static void
+finish_open_work (void)
+{
+  TtAttemptAction open;
+  TtBoard *board = open_draining (&open, 0);
+  TtAction action;
+
+  CU_ASSERT_FALSE (board->drain.ready);
+  (void) drive_request (board, "small", "", 3, T0 + 100);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_NOT_RUN], 0);
+  drive_tick (board, T0 + 2 * TT_SECOND_US);
+  (void) drive_request (board, "small", "", 4, T0 + 2 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (drive_reply (board).outcome, TT_OUTCOME_NOT_RUN);
+  for (int i = 0; i < 3; i++)
+    {
+      drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, open.attempt_id, 5, T0 + 3 * TT_SECOND_US);
+      drive_attempt (board, TT_EVENT_ATTEMPT_DONE, open.attempt_id, 5, T0 + 3 * TT_SECOND_US);
+      CU_ASSERT_NOT_EQUAL (board->drain.state, TT_DRAIN_DONE);
+      open = drive_dispatch (board);
+    }
+  drive_tick (board, T0 + 4 * TT_SECOND_US);
+  CU_ASSERT_PTR_NOT_NULL (world_next (board, TT_ACTION_EXIT, &action));
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_COMPLETE], 3);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CUT], 0);
+  tt_board_free (board);
+}
+
+/// Guards against a process that never stops, and against wrong outcomes at the limit.
+static void
+stop_at_limit (void)
+{
+  TtAttemptAction open;
+  TtBoard *board = open_draining (&open, 5000);
+  TtAction action;
+
+  drive_tick (board, T0 + 2 * TT_SECOND_US);
+  drive_tick (board, T0 + 4900 * TT_MILLISECOND_US);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CUT], 0);
+  drive_tick (board, T0 + 5 * TT_SECOND_US);
+  drive_tick (board, T0 + 5 * TT_SECOND_US + TT_TICK_US);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CUT], 1);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_NOT_RUN], 1);
+  CU_ASSERT_PTR_NOT_NULL (world_next (board, TT_ACTION_EXIT, &action));
+  tt_board_free (board);
+}
+
+/// Guards against daemons that go on counting on the loans and the service of one that leaves.
+static void
+tell_members (void)
+{
+  TtAttemptAction open;
+  TtBoard *board = open_draining (&open, 0);
+  TtLink *link = tt_list_pop (&board->member.free);
+  TtMember *member = TT_CONTAINER_OF (link, TtMember, link);
+  TtAction *action;
+  bool told = false;
+
+  member->entry = (TtMemberEntry){ .id = 9, .domain_id = board->domain_id };
+  member->heard_us = T0 + 2 * TT_SECOND_US;
+  tt_list_append (&board->member.all, &member->link);
+  drive_tick (board, T0 + 2 * TT_SECOND_US);
+  while ((action = tt_board_take (board)) != NULL)
+    {
+      told = told
+             || (action->type == TT_ACTION_PEER && action->peer.member_id == 9
+                 && action->peer.message->type == TT_PEER_LEAVE);
+      tt_board_release (board, action);
+    }
+  CU_ASSERT_TRUE (told);
+  tt_board_free (board);
+}
+
+static const UnitTest tests[] = {
+  { "open streams and queued work finish first", finish_open_work },
+  { "the time limit ends what is left", stop_at_limit },
+  { "the members of the failure domain are told", tell_members },
+};
+
+UNIT_MAIN ("drain", tests)
--- /dev/null
+++ b/test/control/health_test.c
@@ -0,0 +1,194 @@
+#include "support/drive.h"
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/health.h"
+#include "tarragontrack/control/progress.h"
+
+#define T0 (100 * TT_SECOND_US)
+#define FIRST_US (100 * TT_MILLISECOND_US)
+
+enum
+{
+  ENGINES = 6
+};
+
+/// Runs one stream on @backend: first token after @factor times 100 ms, then 10 tokens.
+static void
+run_stream (TtBoard *board, TtBackendServer *backend, double factor, int64_t now_us)
+{
+  uint64_t id = drive_request (board, "small", "", (uint64_t) now_us + backend->id, now_us);
+  TtRequest *request = tt_request_find (board, id);
+  TtAttempt *attempt;
+  int64_t first_us = now_us + (int64_t) (factor * (double) FIRST_US);
+
+  // The test chooses the engine itself, so that each gets the same work.
+  TT_LIST_FOREACH (&request->attempts, it)
+    tt_attempt_close (board, TT_CONTAINER_OF (it, TtAttempt, request_link));
+  attempt = tt_attempt_new (board, request, backend, false, now_us);
+  id = attempt->id;
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, id, 1, first_us);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, id, 10, first_us + (int64_t) (factor * 300000));
+  drive_attempt (board, TT_EVENT_ATTEMPT_DONE, id, 0, first_us + (int64_t) (factor * 300000));
+}
+
+/// Runs @rounds of streams on all engines; the first @slow_count are @factor times slower.
+static int64_t
+run_rounds (TtBoard *board, uint32_t rounds, uint32_t slow_count, double factor, int64_t now_us)
+{
+  for (uint32_t round = 0; round < rounds; round++)
+    {
+      uint32_t index = 0;
+
+      TT_LIST_FOREACH (&board->backends.all, it)
+        {
+          TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+          if (!backend->health.ejected)
+            run_stream (board, backend, index < slow_count ? factor : 1.0, now_us);
+          index++;
+        }
+      now_us += 500 * TT_MILLISECOND_US;
+      drive_tick (board, now_us);
+    }
+  return now_us;
+}
+
+static TtBackendServer *
+backend_at (TtBoard *board, uint32_t index)
+{
+  TtLink *link = tt_list_first (&board->backends.all);
+
+  while (index-- > 0)
+    link = link->next;
+  return TT_CONTAINER_OF (link, TtBackendServer, link);
+}
+
+static TtBoard *
+open_board (uint32_t engines)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+
+  world_start (board, engines, T0);
+  return board;
+}
+
+/// Guards against a straggler that goes on getting work, and against one that is never tried again
+/// or gets its full share at once.
+static void
+eject_and_return (void)
+{
+  TtBoard *board = open_board (ENGINES);
+  int64_t now_us = run_rounds (board, 12, 1, 10.0, T0);
+  TtBackendServer *slow = backend_at (board, 0);
+
+  CU_ASSERT_TRUE (slow->health.ejected);
+  CU_ASSERT_EQUAL (tt_backend_limit (slow, now_us), 0);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_EJECTIONS], 1);
+  for (uint32_t i = 1; i < ENGINES; i++)
+    CU_ASSERT_DOUBLE_EQUAL (backend_at (board, i)->health.factor, 1.0, 0.01);
+  now_us = slow->health.ejected_until_us;
+  drive_tick (board, now_us);
+  CU_ASSERT_FALSE (slow->health.ejected);
+  CU_ASSERT_EQUAL (tt_backend_limit (slow, now_us), 1);
+  CU_ASSERT (slow->health.factor < 0.2);
+  now_us = run_rounds (board, 24, 0, 1.0, now_us);
+  CU_ASSERT_EQUAL (tt_backend_limit (slow, now_us), slow->batch_limit);
+  CU_ASSERT_DOUBLE_EQUAL (slow->health.factor, 1.0, 0.01);
+  tt_board_free (board);
+}
+
+/// Guards against a mildly slow engine that is treated as healthy or as lost.
+static void
+reduce_weight (void)
+{
+  TtBoard *board = open_board (ENGINES);
+
+  (void) run_rounds (board, 12, 1, 2.0, T0);
+  CU_ASSERT_FALSE (backend_at (board, 0)->health.ejected);
+  CU_ASSERT_DOUBLE_EQUAL (backend_at (board, 0)->health.factor, 0.5, 0.1);
+  tt_board_free (board);
+}
+
+/// Guards against ejections that take away the capacity: more than a third, or the last.
+static void
+bound_ejections (void)
+{
+  TtBoard *board = open_board (ENGINES);
+
+  (void) run_rounds (board, 30, 3, 10.0, T0);
+  CU_ASSERT (board->health.ejected_count <= 2);
+  tt_board_free (board);
+  board = open_board (2);
+  (void) run_rounds (board, 30, 1, 10.0, T0);
+  CU_ASSERT_EQUAL (board->health.ejected_count, 0);
+  tt_board_free (board);
+}
+
+/// Guards against a slowed engine that is noticed only when its answers end.
+static void
+see_overdue (void)
+{
+  TtBoard *board = open_board (ENGINES);
+  TtPool *pool = drive_batch (board, 32);
+  TtBackendServer *slow = backend_at (board, 0);
+  int64_t now_us = run_rounds (board, 6, 0, 1.0, T0);
+
+  board->retry.tokens = 0.0; // no hedges, which would end the wait
+  for (uint64_t i = 0; i < 3; i++)
+    {
+      uint64_t id = drive_request (board, "small", "", 900 + i, now_us);
+      TtRequest *request = tt_request_find (board, id);
+
+      TT_LIST_FOREACH (&request->attempts, it)
+        tt_attempt_close (board, TT_CONTAINER_OF (it, TtAttempt, request_link));
+      (void) tt_attempt_new (board, request, slow, false, now_us);
+    }
+  CU_ASSERT_DOUBLE_EQUAL (pool->health.median_first_token_us, (double) FIRST_US, 1000.0);
+  drive_ticks (board, now_us, now_us + 1000 * TT_MILLISECOND_US);
+  CU_ASSERT_TRUE (slow->health.ejected);
+  tt_board_free (board);
+}
+
+/// Guards against an estimate that outlives its cause on an engine without work.
+static void
+forget_when_idle (void)
+{
+  TtBoard *board = open_board (ENGINES);
+  int64_t now_us = run_rounds (board, 12, 1, 2.0, T0);
+
+  drive_ticks (board, now_us, now_us + 60 * TT_SECOND_US);
+  CU_ASSERT_DOUBLE_EQUAL (backend_at (board, 0)->health.factor, 1.0, 0.01);
+  tt_board_free (board);
+}
+
+/// Guards against a crash that is counted once for each request it ends.
+static void
+count_crash_once (void)
+{
+  TtBoard *board = open_board (3);
+  TtBackendServer *backend = backend_at (board, 0);
+
+  for (uint64_t i = 0; i < 40; i++)
+    (void) drive_request (board, "small", "", i + 1, T0);
+  CU_ASSERT (backend->attempts.count > 2);
+  TT_LIST_FOREACH (&backend->attempts, it)
+    drive_fail (board, TT_CONTAINER_OF (it, TtAttempt, backend_link)->id, TT_E_CRASHED, true, T0);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CRASHES], 1);
+  CU_ASSERT_TRUE (backend->health.ejected);
+  drive_ticks (board, T0, T0 + 2 * TT_SECOND_US);
+  CU_ASSERT_FALSE (backend->health.ejected);
+  tt_board_free (board);
+}
+
+static const UnitTest tests[] = {
+  { "a straggler is ejected and returns slowly", eject_and_return },
+  { "a mildly slow engine gets less weight", reduce_weight },
+  { "at most a third is ejected, never the last", bound_ejections },
+  { "overdue first tokens count before they arrive", see_overdue },
+  { "estimates decay when idle", forget_when_idle },
+  { "a crash is counted once", count_crash_once },
+};
+
+UNIT_MAIN ("health", tests)
--- /dev/null
+++ b/test/control/poison_test.c
@@ -0,0 +1,175 @@
+#include "support/drive.h"
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define T0 (100 * TT_SECOND_US)
+
+enum
+{
+  KILLER = 1,
+  INNOCENT = 1000
+};
+
+static TtBoard *
+open_board (uint32_t engines)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+
+  world_start (board, engines, T0);
+  return board;
+}
+
+static uint64_t
+body_of (const TtAttempt *attempt)
+{
+  return attempt->request->spec.body_hash;
+}
+
+/// Crashes the backend server of each attempt of the killer; all others there fail with it.
+static void
+crash_round (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+      uint64_t ids[64];
+      uint32_t count = 0;
+      bool crash = false;
+
+      TT_LIST_FOREACH (&backend->attempts, a)
+        {
+          TtAttempt *attempt = TT_CONTAINER_OF (a, TtAttempt, backend_link);
+
+          crash = crash || body_of (attempt) == KILLER;
+          if (count < 64)
+            ids[count++] = attempt->id;
+        }
+      for (uint32_t i = 0; crash && i < count; i++)
+        drive_fail (board, ids[i], TT_E_CRASHED, true, now_us);
+    }
+}
+
+/// Guards against a request that crashes engine after engine, and against innocent neighbours that
+/// are stopped with it.
+static void
+stop_killer_only (void)
+{
+  TtBoard *board = open_board (4);
+  int64_t now_us = T0;
+  uint32_t blocked_others = 0;
+
+  board->retry.tokens = 64.0;
+  (void) drive_request (board, "large", "", KILLER, now_us);
+  for (uint64_t i = 0; i < 20; i++)
+    (void) drive_request (board, "small", "", INNOCENT + i, now_us);
+  for (int round = 0; round < 12; round++)
+    {
+      crash_round (board, now_us);
+      // Whoever shares an engine with no other suspect and no killer ends well.
+      now_us += 3 * TT_SECOND_US;
+      drive_tick (board, now_us);
+      // The caller retries the killer whenever it was answered.
+      if (board->requests.stages[TT_STAGE_RUNNING].count < 21)
+        (void) drive_request (board, "large", "", KILLER, now_us);
+    }
+  TT_LIST_FOREACH (&board->poison.suspects, it)
+    {
+      const TtSuspect *suspect = TT_CONTAINER_OF (it, TtSuspect, link);
+      bool killer = suspect->fingerprint == tt_hash_pair (tt_hash_string ("large"), KILLER);
+
+      if (suspect->blocked_until_us > 0 && !killer)
+        blocked_others++;
+    }
+  CU_ASSERT_EQUAL (blocked_others, 0);
+  CU_ASSERT (board->counters[TT_COUNT_CRASHES] <= 3);
+  CU_ASSERT (board->counters[TT_COUNT_BLOCKED] > 0);
+  tt_board_free (board);
+}
+
+/// Guards against an account that gets another account's request stopped, and a block that is
+/// never lifted or says nothing.
+static void
+block_own_account_only (void)
+{
+  TtBoard *board = open_board (4);
+  TtReplyAction reply;
+
+  for (int i = 0; i < 4 && board->counters[TT_COUNT_BLOCKED] == 0; i++)
+    {
+      (void) drive_request (board, "large", "", KILLER, T0 + i * 3 * TT_SECOND_US);
+      crash_round (board, T0 + i * 3 * TT_SECOND_US);
+      drive_tick (board, T0 + (i * 3 + 1) * TT_SECOND_US);
+      crash_round (board, T0 + (i * 3 + 1) * TT_SECOND_US);
+    }
+  (void) drive_dispatch (board);
+  while (drive_reply (board).request_id != 0)
+    ;
+  (void) drive_request (board, "large", "", KILLER, T0 + 20 * TT_SECOND_US);
+  reply = drive_reply (board);
+  CU_ASSERT_EQUAL (reply.status, 422);
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply.error.detail, "ran 2 times"));
+  CU_ASSERT_NOT_EQUAL (reply.outcome, TT_OUTCOME_NOT_RUN);
+  (void) drive_request (board, "small", "", KILLER, T0 + 20 * TT_SECOND_US);
+  CU_ASSERT_NOT_EQUAL (drive_dispatch (board).attempt_id, 0);
+  drive_tick (board, T0 + 700 * TT_SECOND_US);
+  (void) drive_request (board, "large", "", KILLER, T0 + 700 * TT_SECOND_US);
+  CU_ASSERT_NOT_EQUAL (drive_dispatch (board).attempt_id, 0);
+  tt_board_free (board);
+}
+
+/// Guards against a suspect that stays one after it has proved harmless.
+static void
+clear_by_success (void)
+{
+  TtBoard *board = open_board (4);
+  TtAttemptAction attempt;
+
+  (void) drive_request (board, "small", "", INNOCENT, T0);
+  drive_fail (board, drive_dispatch (board).attempt_id, TT_E_CRASHED, true, T0);
+  CU_ASSERT_EQUAL (board->poison.suspects.count, 1);
+  drive_ticks (board, T0, T0 + 100 * TT_MILLISECOND_US);
+  attempt = drive_dispatch (board);
+  CU_ASSERT_TRUE (tt_request_find (board, attempt.request_id)->poison.suspect);
+  drive_attempt (board, TT_EVENT_ATTEMPT_DONE, attempt.attempt_id, 5, T0 + TT_SECOND_US);
+  CU_ASSERT_EQUAL (board->poison.suspects.count, 0);
+  tt_board_free (board);
+}
+
+/// Guards against a killer that crashes as many engines as there are routers, and against gossip
+/// that keeps an expired block alive.
+static void
+learn_from_gossip (void)
+{
+  TtBoard *board = open_board (4);
+  TtPeerMessage *message = calloc (1, sizeof *message);
+  TtEvent event = { .type = TT_EVENT_PEER, .peer = message };
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (message);
+  message->type = TT_PEER_GOSSIP;
+  message->gossip.suspect_count = 1;
+  message->gossip.suspects[0] = (TtPeerSuspect){
+    .fingerprint = tt_hash_pair (tt_hash_string ("large"), KILLER), .backend_id = 5, .strikes = 2
+  };
+  tt_board_step (board, &event, T0);
+  (void) drive_request (board, "large", "", KILLER, T0);
+  CU_ASSERT_EQUAL (drive_reply (board).status, 422);
+  tt_board_step (board, &event, T0 + 300 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (board->poison.suspects.count, 0);
+  drive_tick (board, T0 + 601 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (board->poison.heard.count, 0);
+  free (message);
+  tt_board_free (board);
+}
+
+static const UnitTest tests[] = {
+  { "a killer is stopped and its neighbours are not", stop_killer_only },
+  { "a block holds for one account and for a time", block_own_account_only },
+  { "success clears a suspect", clear_by_success },
+  { "suspects are learned from gossip", learn_from_gossip },
+};
+
+UNIT_MAIN ("poison", tests)
--- /dev/null
+++ b/test/control/retry_test.c
@@ -0,0 +1,212 @@
+#include "support/drive.h"
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/retry.h"
+
+#define T0 (100 * TT_SECOND_US)
+#define LATER_US (11 * TT_SECOND_US) // past the first-token timeout of the test's document
+
+static TtBoard *
+open_board (void)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+
+  world_start (board, 4, T0);
+  return board;
+}
+
+/// Number of requests on the board that have no outcome.
+static uint32_t
+open_requests (const TtBoard *board)
+{
+  return board->requests.count - board->requests.stages[TT_STAGE_FREE].count
+         - board->requests.stages[TT_STAGE_FINISHED].count;
+}
+
+/// Guards against a request lost with its engine, and against a stream that starts again.
+static void
+repeat_and_resume (void)
+{
+  TtBoard *board = open_board ();
+  TtAttemptAction first;
+  TtAttemptAction second;
+  TtAction action;
+
+  (void) drive_request (board, "small", "", 1, T0);
+  first = drive_dispatch (board);
+  drive_attempt (board, TT_EVENT_ATTEMPT_SENT, first.attempt_id, 0, T0);
+  drive_fail (board, first.attempt_id, TT_E_CRASHED, true, T0);
+  drive_ticks (board, T0, T0 + 200 * TT_MILLISECOND_US);
+  second = drive_dispatch (board);
+  CU_ASSERT_NOT_EQUAL_FATAL (second.attempt_id, 0);
+  CU_ASSERT_EQUAL (second.resume_from, 0);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, second.attempt_id, 12, T0 + TT_SECOND_US);
+  drive_fail (board, second.attempt_id, TT_E_CRASHED, true, T0 + TT_SECOND_US);
+  drive_ticks (board, T0 + TT_SECOND_US, T0 + 2 * TT_SECOND_US);
+  first = drive_dispatch (board);
+  CU_ASSERT_EQUAL (first.resume_from, 12);
+  drive_attempt (board, TT_EVENT_ATTEMPT_DONE, first.attempt_id, 5, T0 + 3 * TT_SECOND_US);
+  CU_ASSERT_PTR_NOT_NULL (world_next (board, TT_ACTION_RELAY, &action));
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_COMPLETE], 1);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_RETRIES], 2);
+  tt_board_free (board);
+}
+
+/// Guards against a second run of work that must not repeat, and against "not run" after it may
+/// have run.
+static void
+never_repeat_grants (void)
+{
+  TtBoard *board = open_board ();
+  TtAttemptAction attempt;
+  TtRequest *request = drive_own_claim (board, drive_grant (board, "small", 1, T0), T0);
+  TtReplyAction reply;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (request);
+  attempt = drive_dispatch (board);
+  drive_fail (board, attempt.attempt_id, TT_E_CRASHED, true, T0);
+  reply = drive_reply (board);
+  CU_ASSERT_EQUAL (reply.outcome, TT_OUTCOME_UNKNOWN);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_ATTEMPTS], 1);
+  CU_ASSERT_TRUE (request->claim.sent);
+  // A silent connection: not even the first byte is confirmed, and still it may have left.
+  (void) drive_own_claim (board, drive_grant (board, "small", 2, T0), T0);
+  drive_tick (board, T0 + LATER_US);
+  CU_ASSERT_EQUAL (drive_reply (board).outcome, TT_OUTCOME_UNKNOWN);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_ATTEMPTS], 2);
+  tt_board_free (board);
+}
+
+/// Guards against giving up work that certainly did not reach any backend server.
+static void
+repeat_unsent_grant (void)
+{
+  TtBoard *board = open_board ();
+
+  (void) drive_own_claim (board, drive_grant (board, "small", 1, T0), T0);
+  for (int i = 0; i < 8 && open_requests (board) > 0; i++)
+    {
+      TtAttemptAction attempt = drive_dispatch (board);
+
+      if (attempt.attempt_id != 0)
+        drive_fail (board, attempt.attempt_id, TT_E_UNAVAILABLE, false, T0 + i);
+      drive_ticks (board, T0 + i, T0 + i + 200 * TT_MILLISECOND_US);
+    }
+  CU_ASSERT (board->counters[TT_COUNT_ATTEMPTS] > 1);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_UNKNOWN], 0);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_NOT_RUN], 1);
+  tt_board_free (board);
+}
+
+/// Guards against an engine that holds a request without progress, before or inside a stream.
+static void
+find_silent_connections (void)
+{
+  TtBoard *board = open_board ();
+  TtAttemptAction attempt;
+  TtAction action;
+
+  (void) drive_request (board, "small", "", 1, T0);
+  attempt = drive_dispatch (board);
+  drive_tick (board, T0 + LATER_US);
+  CU_ASSERT_PTR_NOT_NULL (world_next (board, TT_ACTION_CANCEL, &action));
+  drive_ticks (board, T0 + LATER_US, T0 + LATER_US + 100 * TT_MILLISECOND_US);
+  attempt = drive_dispatch (board);
+  CU_ASSERT_NOT_EQUAL_FATAL (attempt.attempt_id, 0);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, attempt.attempt_id, 3, T0 + LATER_US);
+  drive_tick (board, T0 + LATER_US + 6 * TT_SECOND_US);
+  drive_tick (board, T0 + LATER_US + 7 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (drive_dispatch (board).resume_from, 3);
+  tt_board_free (board);
+}
+
+/// Guards against answers of closed attempts that reach a caller.
+static void
+drop_late_answers (void)
+{
+  TtBoard *board = open_board ();
+  TtAttemptAction attempt;
+  TtEvent closed = { .type = TT_EVENT_CALLER_CLOSED };
+  TtAction action;
+
+  closed.request_id = drive_request (board, "small", "", 1, T0);
+  attempt = drive_dispatch (board);
+  tt_board_step (board, &closed, T0 + 1);
+  CU_ASSERT_PTR_NOT_NULL (world_next (board, TT_ACTION_CANCEL, &action));
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, attempt.attempt_id, 3, T0 + 2);
+  drive_attempt (board, TT_EVENT_ATTEMPT_DONE, attempt.attempt_id, 3, T0 + 3);
+  CU_ASSERT_PTR_NULL (world_next (board, TT_ACTION_RELAY, &action));
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_LATE_ANSWERS], 2);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_COMPLETE], 0);
+  tt_board_free (board);
+}
+
+/// Guards against a late first token that nothing is done about, against two answers to one
+/// request, and against hedges of work that must not repeat.
+static void
+hedge_late_answers (void)
+{
+  TtBoard *board = open_board ();
+  TtPool *pool = drive_batch (board, 32);
+  TtAttemptAction first;
+  TtAttemptAction second;
+  TtAction action;
+
+  pool->health.median_first_token_us = 100000.0;
+  pool->health.p95_first_token_us = 200000.0;
+  pool->health.next_check_us = T0 + 60 * TT_SECOND_US;
+  (void) drive_request (board, "small", "", 1, T0);
+  first = drive_dispatch (board);
+  drive_tick (board, T0 + 150 * TT_MILLISECOND_US);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_HEDGES], 0);
+  drive_ticks (board, T0 + 200 * TT_MILLISECOND_US, T0 + 900 * TT_MILLISECOND_US);
+  second = drive_dispatch (board);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_HEDGES], 1);
+  CU_ASSERT_NOT_EQUAL (first.backend_id, second.backend_id);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, second.attempt_id, 1, T0 + TT_SECOND_US);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world_next (board, TT_ACTION_RELAY, &action));
+  CU_ASSERT_EQUAL (action.attempt.attempt_id, second.attempt_id);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world_next (board, TT_ACTION_CANCEL, &action));
+  CU_ASSERT_EQUAL (action.attempt.attempt_id, first.attempt_id);
+  drive_attempt (board, TT_EVENT_ATTEMPT_PROGRESS, first.attempt_id, 1, T0 + TT_SECOND_US);
+  CU_ASSERT_PTR_NULL (world_next (board, TT_ACTION_RELAY, &action));
+  (void) drive_own_claim (board, drive_grant (board, "small", 1, T0), T0);
+  drive_ticks (board, T0 + TT_SECOND_US, T0 + 2 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_HEDGES], 1);
+  tt_board_free (board);
+}
+
+/// Guards against retries that multiply an overload.
+static void
+keep_budget (void)
+{
+  TtBoard *board = open_board ();
+
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      TtAttemptAction attempt;
+      int64_t now_us = T0 + (int64_t) i * 100 * TT_MILLISECOND_US;
+
+      (void) drive_request (board, "small", "", i + 1, now_us);
+      while ((attempt = drive_dispatch (board)).attempt_id != 0)
+        drive_fail (board, attempt.attempt_id, TT_E_UNAVAILABLE, true, now_us);
+      drive_tick (board, now_us);
+    }
+  CU_ASSERT (board->counters[TT_COUNT_RETRIES] >= 20);
+  CU_ASSERT (board->counters[TT_COUNT_RETRIES] <= 20 + (uint64_t) TT_RETRY_BUDGET_START);
+  tt_board_free (board);
+}
+
+static const UnitTest tests[] = {
+  { "work is repeated and streams resumed elsewhere", repeat_and_resume },
+  { "work that may have run is not repeated", never_repeat_grants },
+  { "work that was not sent is tried again", repeat_unsent_grant },
+  { "silent connections are found", find_silent_connections },
+  { "late answers of closed attempts are dropped", drop_late_answers },
+  { "a late first token is hedged and one answer wins", hedge_late_answers },
+  { "retries stay inside their budget", keep_budget },
+};
+
+UNIT_MAIN ("retry", tests)
