--- a/src/tarragontrack/board/backend.c
+++ b/src/tarragontrack/board/backend.c
@@ -42,7 +42,12 @@
 tt_backend_free (TtBoard *board, TtBackendServer *backend)
 {
   TtBackendSection *section = &board->backends;
+  TtLink *loan;
 
+  while ((loan = tt_list_pop (&backend->share.loans)) != NULL)
+    tt_list_append (&board->share.free_loans, loan);
+  tt_list_remove (&board->share.touched, &backend->share.touched_link);
+  tt_list_remove (&board->place.wanted, &backend->place.wanted_link);
   tt_list_remove (&section->all, &backend->link);
   tt_list_remove (&section->buckets[backend->id % TT_BACKEND_BUCKETS], &backend->bucket_link);
   if (backend->pool != NULL)
@@ -78,6 +83,7 @@
   memset (pool, 0, sizeof *pool);
   pool->id = id;
   tt_list_init (&pool->backends);
+  tt_list_init (&pool->share.demands);
   for (int priority = 0; priority < TT_PRIORITY_COUNT; priority++)
     tt_list_init (&pool->admit.queues[priority]);
   tt_list_append (&board->backends.pools, &pool->link);
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -8,6 +8,7 @@
 #include "tarragontrack/board/limits_defs.h"
 #include "tarragontrack/board/list.h"
 #include "tarragontrack/board/order_defs.h"
+#include "tarragontrack/board/place_defs.h"
 #include "tarragontrack/board/roster_defs.h"
 #include "tarragontrack/board/share_defs.h"
 #include <stdbool.h>
@@ -21,7 +22,7 @@
 
 typedef struct TtPool TtPool;
 
-typedef struct TtBackendServer
+struct TtBackendServer
 {
   TtLink link;        ///< on TtBackendSection.all
   TtLink bucket_link; ///< on TtBackendSection.buckets
@@ -44,8 +45,9 @@
   TtRosterBackend roster;
   TtHealthBackend health;
   TtShareBackend share;
+  TtPlaceBackend place;
   TtOrderBackend order;
-} TtBackendServer;
+};
 
 /// One service of a document in force, and the backend servers that serve it.
 struct TtPool
@@ -59,6 +61,7 @@
   TtHealthPool health;
   TtLengthPool length;
   TtSharePool share;
+  TtPlacePool place;
 };
 
 /// BOUNDS     TT_MAX_BACKENDS backend servers, TT_MAX_SERVICES pools; `roster` refuses more
--- a/src/tarragontrack/board/board.c
+++ b/src/tarragontrack/board/board.c
@@ -19,6 +19,10 @@
   tt_list_init (&board->controllers);
   tt_list_init (&board->outbox);
   tt_list_init (&board->free_actions);
+  tt_list_init (&board->share.touched);
+  tt_list_init (&board->share.free_loans);
+  tt_list_init (&board->share.free_demands);
+  tt_list_init (&board->place.wanted);
   tt_list_init (&board->backends.all);
   tt_list_init (&board->backends.pools);
   tt_list_init (&board->backends.free_backends);
--- a/src/tarragontrack/board/request.c
+++ b/src/tarragontrack/board/request.c
@@ -99,6 +99,14 @@
   return attempt->request != NULL && attempt->id == attempt_id ? attempt : NULL;
 }
 
+/// Tells `share` that the attempts of a backend server changed.
+static void
+touch_backend (TtBoard *board, TtBackendServer *backend)
+{
+  if (!tt_link_is_linked (&backend->share.touched_link))
+    tt_list_append (&board->share.touched, &backend->share.touched_link);
+}
+
 TtAttempt *
 tt_attempt_new (TtBoard *board, TtRequest *request, TtBackendServer *backend, bool hedge,
                 int64_t now_us)
@@ -122,6 +130,8 @@
   attempt->progress_us = now_us;
   tt_list_append (&request->attempts, &attempt->request_link);
   tt_list_append (&backend->attempts, &attempt->backend_link);
+  backend->share.opened++;
+  touch_backend (board, backend);
   request->attempt_count++;
   if (request->stage != TT_STAGE_RUNNING)
     tt_request_set_stage (board, request, TT_STAGE_RUNNING);
@@ -144,6 +154,7 @@
 
   tt_list_remove (&request->attempts, &attempt->request_link);
   tt_list_remove (&attempt->backend->attempts, &attempt->backend_link);
+  touch_backend (board, attempt->backend);
   if (request->winner == attempt)
     request->winner = NULL;
   attempt->request = NULL;
--- /dev/null
+++ b/src/tarragontrack/control/moved.c
@@ -0,0 +1,79 @@
+#include "tarragontrack/control/moved.h"
+#include <stdlib.h>
+
+/// An engine has most likely evicted a chat that paused for longer.
+#define KEEP_US (3600 * TT_SECOND_US)
+
+int
+tt_moved_open (TtBoard *board)
+{
+  board->place.moved_count = TT_MOVED_CHATS;
+  board->place.moved = calloc (TT_MOVED_CHATS, sizeof *board->place.moved);
+  return board->place.moved != NULL ? TT_OK : TT_E_NO_MEMORY;
+}
+
+void
+tt_moved_close (TtBoard *board)
+{
+  free (board->place.moved);
+}
+
+/// First entry of the chat's set.
+static TtMovedChat *
+set_of (TtBoard *board, uint64_t chat_key)
+{
+  uint64_t sets = board->place.moved_count / TT_MOVED_WAYS;
+
+  return &board->place.moved[tt_hash_pair (chat_key, 1) % sets * TT_MOVED_WAYS];
+}
+
+/// The chat's entry; NULL if there is none.
+static TtMovedChat *
+find_entry (TtBoard *board, uint64_t chat_key)
+{
+  TtMovedChat *set = set_of (board, chat_key);
+
+  for (int way = 0; way < TT_MOVED_WAYS; way++)
+    if (set[way].chat_key == chat_key)
+      return &set[way];
+  return NULL;
+}
+
+uint64_t
+tt_moved_find (TtBoard *board, uint64_t chat_key, int64_t now_us)
+{
+  TtMovedChat *entry = chat_key != 0 ? find_entry (board, chat_key) : NULL;
+
+  if (entry == NULL || now_us - entry->used_us > KEEP_US)
+    return 0;
+  return entry->backend_id;
+}
+
+void
+tt_moved_set (TtBoard *board, uint64_t chat_key, uint64_t backend_id, int64_t now_us)
+{
+  TtMovedChat *entry;
+
+  if (chat_key == 0)
+    return;
+  entry = find_entry (board, chat_key);
+  if (entry == NULL)
+    {
+      TtMovedChat *set = set_of (board, chat_key);
+
+      entry = set;
+      for (int way = 1; way < TT_MOVED_WAYS; way++)
+        if (set[way].used_us < entry->used_us)
+          entry = &set[way];
+    }
+  *entry = (TtMovedChat){ .chat_key = chat_key, .backend_id = backend_id, .used_us = now_us };
+}
+
+void
+tt_moved_drop (TtBoard *board, uint64_t chat_key, uint64_t backend_id)
+{
+  TtMovedChat *entry = chat_key != 0 ? find_entry (board, chat_key) : NULL;
+
+  if (entry != NULL && (backend_id == 0 || entry->backend_id == backend_id))
+    *entry = (TtMovedChat){ 0 };
+}
--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -1,58 +1,478 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
-#include "tarragontrack/board/hash.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/moved.h"
+#include "tarragontrack/control/rank.h"
+#include "tarragontrack/control/slot.h"
+#include <stdlib.h>
 
-/// The backend server with room that ranks first for the chat; NULL if none has room.
-static TtBackendServer *
-pick_backend (TtRequest *request)
+/// Longest wait for a keeper's answer before the next engine of the ranking is tried. The failure
+/// domain's round trip is below a millisecond; recomputing a prompt takes far longer than this.
+#define KEEPER_WAIT_US (20 * TT_MILLISECOND_US)
+/// A request with an idle slot elsewhere waits for at most this many keepers.
+#define MAX_WAITS 2
+/// Least time that a request waits for its own failure domain before it spills over.
+#define MIN_SPILL_US (100 * TT_MILLISECOND_US)
+/// Time to compute one prompt token, and to move its KV cache inside a failure domain and between
+/// two of them; a move also has a fixed cost.
+#define PREFILL_US 100
+#define MOVE_NEAR_US 40
+#define MOVE_FAR_US 80
+#define MOVE_FIXED_US (20 * TT_MILLISECOND_US)
+
+/// A decision in progress.
+typedef struct
+{
+  TtBoard *board;
+  TtRequest *request;
+  int64_t now_us;
+  TtRanking ranking;
+  TtBackendServer *preferred; ///< where the chat was last served; NULL if unknown
+  TtPlaceReason preferred_reason;
+  uint64_t home_id;
+} Decision;
+
+/// True if the backend server has another request that a crash made suspect.
+static bool
+has_suspect (const TtBackendServer *backend)
+{
+  TT_LIST_FOREACH (&backend->attempts, it)
+    if (TT_CONTAINER_OF (it, TtAttempt, backend_link)->request->poison.suspect)
+      return true;
+  return false;
+}
+
+/// True if the request may run on the backend server, apart from slots.
+static bool
+accepts (const Decision *decision, const TtBackendServer *backend)
+{
+  const TtRequest *request = decision->request;
+
+  if (!tt_slot_usable (backend) || backend->pool != request->pool)
+    return false;
+  if (request->attempt_count > 0 && request->retry.last_backend_id == backend->id
+      && request->pool->place.count > 1)
+    return false;
+  if (request->length.is_long && request->pool->spec.type == TT_SERVICE_MODEL
+      && backend->share.long_used >= tt_slot_long_cap (decision->board, backend))
+    return false;
+  return !request->poison.suspect || !has_suspect (backend);
+}
+
+/// True if the daemon holds an unused slot. A daemon that reaches no keeper may run one request on
+/// the first of a ranking.
+static bool
+has_slot (const Decision *decision, const TtBackendServer *backend)
+{
+  if (tt_slot_idle (backend, decision->now_us) > 0)
+    return true;
+  return backend->share.orphan && backend->id == decision->home_id && backend->attempts.count == 0;
+}
+
+/// Ends the wait for a keeper.
+static void
+stop_wait (TtBoard *board, TtRequest *request)
+{
+  TtBackendServer *backend;
+
+  if (request->place.wait_id == 0)
+    return;
+  backend = tt_backend_find (board, request->place.wait_id);
+  request->place.wait_id = 0;
+  if (backend == NULL || backend->place.waiting == 0)
+    return;
+  backend->place.waiting--;
+  if (backend->place.waiting == 0)
+    tt_list_remove (&board->place.wanted, &backend->place.wanted_link);
+}
+
+/// Waits for the keeper of a backend server; `share` asks it in the next pass.
+static void
+start_wait (const Decision *decision, TtBackendServer *backend)
+{
+  TtPlaceRequest *place = &decision->request->place;
+
+  place->wait_id = backend->id;
+  place->wait_until_us = decision->now_us + KEEPER_WAIT_US;
+  place->waits++;
+  backend->place.waiting++;
+  if (!tt_link_is_linked (&backend->place.wanted_link))
+    tt_list_append (&decision->board->place.wanted, &backend->place.wanted_link);
+  decision->board->dirty = true;
+}
+
+/// Asks for the KV cache of the chat to be moved if that is faster than computing it again.
+static void
+move_cache (const Decision *decision, const TtBackendServer *target)
+{
+  const TtBackendServer *source = decision->preferred;
+  const TtRequest *request = decision->request;
+  int64_t tokens = request->spec.prompt_tokens;
+  TtAction *action;
+
+  if (source == NULL || source == target || source->roster.state == TT_BACKEND_GONE
+      || request->pool->spec.type != TT_SERVICE_MODEL)
+    return;
+  if (MOVE_FIXED_US + tokens * (source->domain_id == target->domain_id ? MOVE_NEAR_US : MOVE_FAR_US)
+      >= tokens * PREFILL_US)
+    return;
+  action = tt_board_act (decision->board, TT_ACTION_KV_MOVE);
+  if (action != NULL)
+    action->kv = (TtKvAction){ .chat_key = request->spec.chat_key,
+                               .from_backend_id = source->id,
+                               .to_backend_id = target->id };
+}
+
+/// Why the backend server was chosen.
+static TtPlaceReason
+reason_of (const Decision *decision, const TtBackendServer *backend)
+{
+  if (decision->request->pool->spec.type == TT_SERVICE_PLAIN)
+    return TT_PLACE_LEAST_LOAD;
+  if (backend->domain_id != decision->board->domain_id)
+    return TT_PLACE_SPILL;
+  if (backend->id == decision->home_id)
+    return TT_PLACE_HOME;
+  return backend == decision->preferred ? decision->preferred_reason : TT_PLACE_OVERFLOW;
+}
+
+/// Remembers where the chat is served, and counts.
+static void
+note_chat (const Decision *decision, const TtBackendServer *backend)
+{
+  TtBoard *board = decision->board;
+  uint64_t chat_key = decision->request->spec.chat_key;
+
+  if (decision->request->pool->spec.type != TT_SERVICE_MODEL)
+    return;
+  if (backend->id == decision->home_id)
+    {
+      tt_board_count (board, TT_COUNT_PLACED_HOME, 1);
+      tt_moved_drop (board, chat_key, 0);
+      return;
+    }
+  tt_board_count (board, TT_COUNT_PLACED_MOVED, 1);
+  if (backend->domain_id != board->domain_id)
+    tt_board_count (board, TT_COUNT_PLACED_SPILL, 1);
+  tt_moved_set (board, chat_key, backend->id, decision->now_us);
+}
+
+/// Opens the attempt.
+static bool
+choose (const Decision *decision, TtBackendServer *backend)
+{
+  TtRequest *request = decision->request;
+  TtPlaceRequest *place = &request->place;
+  uint32_t rank = 0;
+
+  while (rank < decision->ranking.count
+         && decision->ranking.items[rank].candidate->backend != backend)
+    rank++;
+  if (tt_attempt_new (decision->board, request, backend, false, decision->now_us) == NULL)
+    return false;
+  place->reason = reason_of (decision, backend);
+  place->rank = rank;
+  place->home_id = decision->home_id;
+  backend->share.long_used += request->length.is_long;
+  move_cache (decision, backend);
+  note_chat (decision, backend);
+  return true;
+}
+
+/// Chooses a backend server or starts to wait for a keeper.
+///
+/// RETURN     true if one of both was done
+static bool
+try_backend (const Decision *decision, TtBackendServer *backend)
+{
+  if (!accepts (decision, backend))
+    return false;
+  if (has_slot (decision, backend))
+    return choose (decision, backend);
+  if (decision->request->place.waits >= MAX_WAITS || !tt_slot_can_ask (backend, decision->now_us))
+    return false;
+  start_wait (decision, backend);
+  return true;
+}
+
+/// Tries the best of all candidates that has a slot, beyond the ones that the ranking holds; if
+/// none has, waits for the keeper of one that may get one.
+static bool
+try_rest (const Decision *decision, const TtCandidate *candidates, uint32_t count)
 {
   TtBackendServer *best = NULL;
-  double best_score = 0.0;
+  TtBackendServer *askable = NULL;
+  double best_cost = 0.0;
+  double askable_cost = 0.0;
 
-  TT_LIST_FOREACH (&request->pool->backends, it)
+  for (uint32_t i = 0; i < count; i++)
     {
-      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
-      double score = tt_hash_score (request->spec.chat_key, backend->id, backend->weight);
+      TtBackendServer *backend = candidates[i].backend;
+      bool idle = tt_slot_idle (backend, decision->now_us) > 0;
+      double cost;
 
-      if (backend->roster.state != TT_BACKEND_LIVE
-          || backend->attempts.count >= backend->batch_limit)
+      if ((!idle && !tt_slot_can_ask (backend, decision->now_us)) || !accepts (decision, backend))
         continue;
-      if (best == NULL || score > best_score)
+      cost = tt_rank_cost (decision->request->spec.chat_key, &candidates[i]);
+      if (idle && (best == NULL || cost < best_cost))
         {
           best = backend;
-          best_score = score;
+          best_cost = cost;
+        }
+      else if (!idle && (askable == NULL || cost < askable_cost))
+        {
+          askable = backend;
+          askable_cost = cost;
         }
     }
-  return best;
+  if (best != NULL)
+    return choose (decision, best);
+  if (askable == NULL)
+    return false;
+  start_wait (decision, askable);
+  return true;
+}
+
+/// Time that a request waits for its own failure domain before it may go to another one: the
+/// difference of the measured times to the first token, and the prompt that is computed again.
+static int64_t
+spill_cost_us (const Decision *decision, const TtCandidate *candidates)
+{
+  const TtPlacePool *pool = &decision->request->pool->place;
+  double sums[2] = { 0.0, 0.0 };
+  uint32_t counts[2] = { 0, 0 };
+  double cost = (double) decision->request->spec.prompt_tokens * PREFILL_US;
+
+  for (uint32_t i = 0; i < pool->count; i++)
+    if (candidates[i].backend->health.first_token_us > 0.0)
+      {
+        sums[i >= pool->local] += candidates[i].backend->health.first_token_us;
+        counts[i >= pool->local]++;
+      }
+  if (counts[0] > 0 && counts[1] > 0)
+    cost += sums[1] / counts[1] - sums[0] / counts[0];
+  return cost > (double) MIN_SPILL_US ? (int64_t) cost : MIN_SPILL_US;
+}
+
+/// Tries the backend servers of other failure domains.
+static bool
+try_spill (Decision *decision, const TtCandidate *candidates)
+{
+  const TtRequest *request = decision->request;
+  const TtPlacePool *pool = &request->pool->place;
+
+  if (pool->count == pool->local)
+    return false;
+  if (pool->local > 0
+      && decision->now_us - request->arrived_us < spill_cost_us (decision, candidates))
+    return false;
+  decision->request->place.waits = 0;
+  return try_rest (decision, candidates + pool->local, pool->count - pool->local);
 }
 
+/// Finds out where the chat was served last, from the caller's hint or the table.
 static void
-run (void *context, TtBoard *board, int64_t now_us)
+find_preferred (Decision *decision)
 {
-  (void) context;
-  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_READY], it)
+  TtRequest *request = decision->request;
+  uint64_t id = request->spec.route_hint;
+
+  decision->preferred_reason = TT_PLACE_HINT;
+  if (id == 0)
     {
-      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
-      TtBackendServer *backend = pick_backend (request);
+      id = tt_moved_find (decision->board, request->spec.chat_key, decision->now_us);
+      decision->preferred_reason = TT_PLACE_MOVED;
+    }
+  if (id == 0)
+    return;
+  decision->preferred = tt_backend_find (decision->board, id);
+  if (decision->preferred != NULL && decision->preferred->pool != request->pool)
+    decision->preferred = NULL;
+}
 
-      if (backend != NULL)
-        (void) tt_attempt_new (board, request, backend, false, now_us);
-      else if (now_us >= request->deadline_us)
-        {
-          TtError error = { 0 };
+/// Looks for a backend server for one READY request.
+static void
+decide (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  const TtPool *pool = request->pool;
+  const TtCandidate *candidates = &board->place.candidates[pool->place.first];
+  Decision decision = { .board = board, .request = request, .now_us = now_us };
+  uint64_t key = request->spec.chat_key != 0 ? request->spec.chat_key : request->spec.request_id;
+
+  if (pool->spec.type == TT_SERVICE_PLAIN)
+    tt_rank_load (candidates, pool->place.local, request->spec.request_id, &decision.ranking);
+  else
+    {
+      tt_rank_chat (candidates, pool->place.local, key, request->spec.prefix_key,
+                    pool->spec.prefix_spread, &decision.ranking);
+      find_preferred (&decision);
+    }
+  if (decision.ranking.count > 0)
+    decision.home_id = decision.ranking.items[0].candidate->id;
+  if (decision.preferred != NULL && decision.preferred->domain_id == board->domain_id
+      && try_backend (&decision, decision.preferred))
+    return;
+  for (uint32_t i = 0; i < decision.ranking.count; i++)
+    if (try_backend (&decision, decision.ranking.items[i].candidate->backend))
+      return;
+  if (try_rest (&decision, candidates, pool->place.local))
+    return;
+  (void) try_spill (&decision, candidates);
+}
+
+/// Ends a request that got no slot before its deadline.
+static void
+expire_request (TtBoard *board, TtRequest *request)
+{
+  TtError error = { 0 };
+  TtOutcome outcome = TT_OUTCOME_NOT_RUN;
+
+  // An earlier attempt may have run.
+  if (request->attempt_count > 0)
+    outcome = request->relayed ? TT_OUTCOME_CUT : TT_OUTCOME_UNKNOWN;
+  (void) tt_error_set (&error, TT_E_LIMIT, TT_STEP_PLACE, request->spec.service,
+                       "no backend server had room before the deadline");
+  tt_request_finish (board, request, outcome, 503, 1000, &error);
+}
+
+/// True if a decision can end otherwise than the last one did.
+static bool
+is_due (TtBoard *board, const TtRequest *request, int64_t now_us)
+{
+  const TtBackendServer *backend;
 
-          (void) tt_error_set (&error, TT_E_LIMIT, TT_STEP_PLACE, request->spec.service,
-                               "no backend server had room before the deadline");
-          tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, 503, 1000, &error);
+  if (request->retry.not_before_us > now_us)
+    return false;
+  if (!request->place.examined)
+    return true;
+  if (request->place.wait_id == 0)
+    return request->pool->share.idle_slots > 0 || request->pool->share.free_slots > 0
+           || request->pool->place.count > request->pool->place.local;
+  backend = tt_backend_find (board, request->place.wait_id);
+  return backend == NULL || now_us >= request->place.wait_until_us
+         || tt_slot_idle (backend, now_us) > 0 || !tt_slot_usable (backend)
+         || (backend->share.ask_sequence == 0 && !tt_slot_can_ask (backend, now_us));
+}
+
+/// Places one READY request if that may succeed now.
+static void
+place_request (TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  TtPool *pool = request->pool;
+
+  if (is_due (board, request, now_us))
+    {
+      stop_wait (board, request);
+      if (!request->place.examined)
+        {
+          request->place.examined = true;
+          request->place.waits = 0;
+          pool->place.waiting++;
+          board->dirty = true;
         }
+      decide (board, request, now_us);
+    }
+  if (request->stage != TT_STAGE_READY)
+    {
+      request->place.examined = false;
+      pool->place.waiting -= pool->place.waiting > 0;
+    }
+  else if (now_us >= request->deadline_us)
+    expire_request (board, request);
+}
+
+/// Forgets the wait of a request that ends before it is placed.
+static void
+on_finished (void *context, TtBoard *board, TtRequest *request, int64_t now_us)
+{
+  (void) context;
+  (void) now_us;
+  stop_wait (board, request);
+  if (request->place.examined && request->pool != NULL)
+    request->pool->place.waiting -= request->pool->place.waiting > 0;
+  request->place.examined = false;
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  const TtCacheEvent *cache = &event->cache;
+
+  (void) context;
+  if (event->type != TT_EVENT_CACHE)
+    return;
+  // Events come late and with gaps: they correct an entry, but they prove nothing.
+  if (!cache->stored)
+    tt_moved_drop (board, cache->chat_key, cache->backend_id);
+  else if (tt_moved_find (board, cache->chat_key, now_us) != 0)
+    tt_moved_set (board, cache->chat_key, cache->backend_id, now_us);
+}
+
+/// First request from which on none was examined; the list's head if there is none.
+static TtLink *
+find_new (TtList *ready)
+{
+  TtLink *link = &ready->head;
+
+  while (link->prev != &ready->head
+         && !TT_CONTAINER_OF (link->prev, TtRequest, stage_link)->place.examined)
+    link = link->prev;
+  return link;
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  TtPlaceSection *section = &board->place;
+  TtList *ready = &board->requests.stages[TT_STAGE_READY];
+  bool tick = now_us - section->collected_us >= TT_TICK_US;
+  TtLink *link;
+
+  (void) context;
+  if (tick || section->backends != board->backends.all.count
+      || section->pools != board->backends.pools.count)
+    tt_rank_collect (board, now_us);
+  if (ready->count == 0)
+    return;
+  // Requests that found no slot are tried again only if a slot may have become free.
+  link = tick || section->version != board->share.version ? ready->head.next : find_new (ready);
+  section->version = board->share.version;
+  while (link != &ready->head)
+    {
+      TtLink *next = link->next;
+
+      place_request (board, TT_CONTAINER_OF (link, TtRequest, stage_link), now_us);
+      link = next;
     }
 }
 
+static int
+open_place (void *context, TtBoard *board)
+{
+  (void) context;
+  board->place.candidates = calloc (TT_MAX_BACKENDS, sizeof *board->place.candidates);
+  if (board->place.candidates == NULL)
+    return TT_E_NO_MEMORY;
+  return tt_moved_open (board);
+}
+
+static void
+close_place (void *context, TtBoard *board)
+{
+  (void) context;
+  free (board->place.candidates);
+  tt_moved_close (board);
+}
+
 TtController
 tt_place_controller (void)
 {
-  return (TtController){ .name = "place", .run = run };
+  return (TtController){ .name = "place",
+                         .open = open_place,
+                         .close = close_place,
+                         .on_event = on_event,
+                         .run = run,
+                         .on_finished = on_finished };
 }
--- /dev/null
+++ b/src/tarragontrack/control/rank.c
@@ -0,0 +1,150 @@
+#include "tarragontrack/control/rank.h"
+#include "tarragontrack/control/slot.h"
+#include <string.h>
+
+/// Smallest factor of a weight; a slower backend server is ejected, not weighted.
+#define MIN_FACTOR 0.01
+#define LN2 0.693147180559945309
+
+/// Spreads the bits of a number over all 64 bits (the finaliser of MurmurHash3).
+static uint64_t
+mix_bits (uint64_t bits)
+{
+  bits ^= bits >> 33;
+  bits *= UINT64_C (0xff51afd7ed558ccd);
+  bits ^= bits >> 33;
+  bits *= UINT64_C (0xc4ceb9fe1a85ec53);
+  bits ^= bits >> 33;
+  return bits;
+}
+
+/// -ln (u) for u = bits / 2^64, with an error below 0.0001. The C library's logarithm takes five
+/// times as long, which is too slow for 880 candidates in one decision.
+static double
+draw_exponential (uint64_t bits)
+{
+  int zeros = __builtin_clzll (bits | 1);
+  uint64_t mantissa = (bits << zeros) << 1;
+  double m = (double) (mantissa >> 12) * 0x1.0p-52;
+  // ln (1 + m) on [0, 1), Abramowitz and Stegun 4.1.43.
+  double ln
+      = m
+        * (0.99949556 + m * (-0.49190896 + m * (0.28947478 + m * (-0.13606275 + m * 0.03215845))));
+
+  return (zeros + 1) * LN2 - ln;
+}
+
+double
+tt_rank_cost (uint64_t key, const TtCandidate *candidate)
+{
+  return draw_exponential (mix_bits (key ^ candidate->mixed)) * candidate->inverse;
+}
+
+/// Puts a candidate into a ranking that keeps the best @limit.
+static inline void
+insert_ranked (TtRanking *ranking, uint32_t limit, const TtCandidate *candidate, double cost)
+{
+  uint32_t at;
+
+  if (ranking->count == limit)
+    {
+      if (cost >= ranking->items[limit - 1].cost)
+        return;
+      at = limit - 1;
+    }
+  else
+    at = ranking->count++;
+  while (at > 0 && ranking->items[at - 1].cost > cost)
+    {
+      ranking->items[at] = ranking->items[at - 1];
+      at--;
+    }
+  ranking->items[at] = (TtRanked){ .candidate = candidate, .cost = cost };
+}
+
+void
+tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key, uint64_t prefix_key,
+              uint32_t spread, TtRanking *ranking)
+{
+  TtRanking group = { .count = 0 };
+  TtRanking rest = { .count = 0 };
+
+  ranking->count = 0;
+  if (spread > TT_GROUP_MAX)
+    spread = TT_GROUP_MAX;
+  if (prefix_key != 0 && spread > 0)
+    for (uint32_t i = 0; i < count; i++)
+      insert_ranked (&group, spread, &candidates[i], tt_rank_cost (prefix_key, &candidates[i]));
+  for (uint32_t i = 0; i < group.count; i++)
+    insert_ranked (ranking, TT_RANK_MAX, group.items[i].candidate,
+                   tt_rank_cost (chat_key, group.items[i].candidate));
+  if (ranking->count == TT_RANK_MAX)
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    insert_ranked (&rest, TT_RANK_MAX, &candidates[i], tt_rank_cost (chat_key, &candidates[i]));
+  for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_MAX; i++)
+    {
+      bool in_group = false;
+
+      for (uint32_t g = 0; g < group.count; g++)
+        in_group |= group.items[g].candidate == rest.items[i].candidate;
+      if (!in_group)
+        ranking->items[ranking->count++] = rest.items[i];
+    }
+}
+
+void
+tt_rank_load (const TtCandidate *candidates, uint32_t count, uint64_t key, TtRanking *ranking)
+{
+  ranking->count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      // The hash breaks ties between equal loads and stays below one attempt.
+      double tie = (double) (mix_bits (key ^ candidates[i].mixed) >> 11) * 0x1.0p-54;
+      double load = candidates[i].backend->attempts.count + candidates[i].backend->place.waiting;
+
+      insert_ranked (ranking, TT_RANK_MAX, &candidates[i], (load + tie) * candidates[i].inverse);
+    }
+}
+
+/// Adds the usable backend servers of a pool, those of the own failure domain first.
+static void
+collect_pool (TtBoard *board, TtPool *pool)
+{
+  TtPlaceSection *section = &board->place;
+
+  pool->place.first = section->candidate_count;
+  for (int remote = 0; remote <= 1; remote++)
+    {
+      TT_LIST_FOREACH (&pool->backends, it)
+        {
+          TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+          double factor = backend->health.factor > MIN_FACTOR ? backend->health.factor : MIN_FACTOR;
+          double weight = backend->weight > 0.0 ? backend->weight : 1.0;
+
+          if (!tt_slot_usable (backend) || remote != (backend->domain_id != board->domain_id))
+            continue;
+          section->candidates[section->candidate_count++]
+              = (TtCandidate){ .id = backend->id,
+                               .mixed = mix_bits (backend->id),
+                               .inverse = 1.0 / (weight * factor),
+                               .backend = backend };
+        }
+      if (remote == 0)
+        pool->place.local = section->candidate_count - pool->place.first;
+    }
+  pool->place.count = section->candidate_count - pool->place.first;
+}
+
+void
+tt_rank_collect (TtBoard *board, int64_t now_us)
+{
+  TtPlaceSection *section = &board->place;
+
+  section->candidate_count = 0;
+  section->collected_us = now_us;
+  section->backends = board->backends.all.count;
+  section->pools = board->backends.pools.count;
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    collect_pool (board, TT_CONTAINER_OF (it, TtPool, link));
+}
--- /dev/null
+++ b/src/tarragontrack/control/rank.h
@@ -0,0 +1,40 @@
+/// Ranking of a pool's backend servers by weighted rendezvous hashing. Used by place.c only.
+#pragma once
+
+#include "tarragontrack/board/board_defs.h"
+
+enum
+{
+  TT_RANK_MAX = 16, ///< backend servers of a ranking that are kept in order
+  TT_GROUP_MAX = 16 ///< largest group of a shared prefix
+};
+
+typedef struct
+{
+  const TtCandidate *candidate;
+  double cost; ///< the lowest ranks first
+} TtRanked;
+
+/// The first backend servers of a ranking, best first.
+typedef struct
+{
+  TtRanked items[TT_RANK_MAX];
+  uint32_t count;
+} TtRanking;
+
+/// tt_rank_collect - builds the candidate arrays of all pools from the backend servers
+///
+/// NOTES      only live backend servers that are not ejected are candidates
+void tt_rank_collect (TtBoard *board, int64_t now_us);
+
+/// Cost of a candidate for a key: an exponential variate divided by the weight.
+double tt_rank_cost (uint64_t key, const TtCandidate *candidate);
+
+/// tt_rank_chat - ranks candidates for a chat in two steps
+///
+/// ARGUMENTS  prefix_key: selects a group of @spread that ranks before all others; 0 = none
+void tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key,
+                   uint64_t prefix_key, uint32_t spread, TtRanking *ranking);
+
+/// Ranks candidates by open attempts of this daemon per weight; ties by @key.
+void tt_rank_load (const TtCandidate *candidates, uint32_t count, uint64_t key, TtRanking *ranking);
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -1,8 +1,483 @@
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/keeper.h"
+#include "tarragontrack/control/slot.h"
+#include <math.h>
+
+/// A loan is renewed after RENEW_US; when the answer is lost, one retry still arrives before the
+/// loan of TT_LOAN_PERIOD_US ends.
+#define RENEW_US (1500 * TT_MILLISECOND_US)
+#define RETRY_US (250 * TT_MILLISECOND_US)
+/// Without an answer for this long, and without a loan, a keeper counts as unreachable.
+#define ORPHAN_US (600 * TT_MILLISECOND_US)
+/// A refused borrower asks again after this time, which doubles up to three times.
+#define DENIED_US (300 * TT_MILLISECOND_US)
+#define MAX_DENIED_SHIFT 3
+/// ASK messages outside of renewals: a second and at once. With 33 daemons in a failure domain
+/// renewals take 22 messages a second; both stay under half of the 11 KB/s for control.
+#define ASKS_PER_S 20.0
+#define ASK_BURST 20.0
+/// Age up to which a room seen by gossip is used for the fallback.
+#define SEEN_US (60 * TT_SECOND_US)
+
+enum
+{
+  ASK_CREDIT = 4, ///< slots expected from a keeper that refused none so far
+  QUEUE_WISH = 4  ///< most slots asked for on one engine for queued requests
+};
+
+/// Requests of this daemon that run on or wait for the pool.
+static uint32_t
+count_demand (const TtPool *pool)
+{
+  return pool->share.used + pool->admit.queued + pool->place.waiting;
+}
+
+/// Slots to ask for: those in use, those that requests wait for, and what is likely to be opened
+/// before the next renewal.
+static uint32_t
+count_wish (const TtBoard *board, const TtBackendServer *backend)
+{
+  const TtPool *pool = backend->pool;
+  uint32_t wish = backend->attempts.count + backend->place.waiting;
+  uint32_t queue = 0;
+
+  if (pool->admit.queued > 0 && pool->share.engines > 0)
+    queue = (pool->admit.queued + pool->share.engines - 1) / pool->share.engines;
+  wish += queue < QUEUE_WISH ? queue : QUEUE_WISH;
+  if (tt_keeper_is_self (board, backend))
+    return wish + 1;
+  // Openings and closings cancel out, so that the need grows with the square root of openings.
+  return wish + (uint32_t) (0.5 + sqrt (backend->share.uses) / 2.0);
+}
+
+/// Renews this daemon's loan on a backend server that it keeps itself.
+static void
+lend_to_self (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtLoanAsk ask = { .member_id = board->member.self->entry.id,
+                    .incarnation = board->member.self->entry.incarnation,
+                    .sequence = ++board->share.sequence,
+                    .used = backend->attempts.count,
+                    .wanted = count_wish (board, backend) };
+  uint32_t granted;
+
+  if (!tt_keeper_lend (board, backend, &ask, &granted, now_us))
+    return;
+  backend->share.lent = granted;
+  backend->share.lent_until_us = now_us + TT_LOAN_PERIOD_US;
+  backend->share.orphan = false;
+}
+
+/// Slots that the keeper of a usable backend server is likely to lend on request.
+static uint32_t
+count_credit (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+{
+  if (tt_keeper_is_self (board, backend))
+    return now_us < backend->share.lends_from_us ? 0 : tt_keeper_free (backend, now_us);
+  if (!tt_slot_can_ask (backend, now_us))
+    return 0;
+  // Another failure domain is asked only when the own one has no engine left for the pool.
+  if (backend->domain_id != board->domain_id && backend->pool->share.engines > 0)
+    return 0;
+  return backend->share.denials == 0 ? ASK_CREDIT : 1;
+}
+
+/// Counts attempts and slots of one backend server again and updates the sums of its pool.
+static void
+refresh_backend (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtShareBackend *share = &backend->share;
+  TtSharePool *pool = &backend->pool->share;
+  bool local = backend->domain_id == board->domain_id;
+  uint32_t cap = tt_slot_long_cap (board, backend);
+  uint32_t idle = share->idle;
+
+  pool->idle_slots -= share->idle;
+  pool->free_slots -= share->free;
+  pool->free_long_slots -= share->free_long;
+  pool->used -= local ? share->used : 0;
+  share->used = backend->attempts.count;
+  share->long_used = 0;
+  TT_LIST_FOREACH (&backend->attempts, it)
+    share->long_used += TT_CONTAINER_OF (it, TtAttempt, backend_link)->request->length.is_long;
+  pool->used += local ? share->used : 0;
+  share->idle = 0;
+  share->free = 0;
+  share->free_long = 0;
+  if (tt_slot_usable (backend))
+    {
+      if (tt_keeper_is_self (board, backend))
+        lend_to_self (board, backend, now_us);
+      share->idle = tt_slot_idle (backend, now_us);
+      share->free = share->idle + count_credit (board, backend, now_us);
+      share->free -= share->free < backend->place.waiting ? share->free : backend->place.waiting;
+      if (cap > share->long_used)
+        share->free_long
+            = share->free < cap - share->long_used ? share->free : cap - share->long_used;
+    }
+  pool->idle_slots += share->idle;
+  pool->free_slots += share->free;
+  pool->free_long_slots += share->free_long;
+  if (share->idle > idle)
+    {
+      board->share.version++;
+      board->dirty |= backend->pool->admit.queued > 0;
+    }
+}
+
+/// True if the daemon has to tell the keeper about this backend server.
+static bool
+has_interest (const TtBackendServer *backend)
+{
+  return backend->attempts.count > 0 || backend->place.waiting > 0 || backend->share.lent > 0;
+}
+
+static TtMember *
+find_member (TtBoard *board, uint64_t id)
+{
+  TT_LIST_FOREACH (&board->member.all, it)
+    {
+      TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
+
+      if (member->entry.id == id)
+        return member;
+    }
+  return NULL;
+}
+
+/// Adds one backend server to an ASK.
+static void
+add_slot (TtBoard *board, TtPeerShare *message, TtBackendServer *backend, int64_t now_us)
+{
+  TtShareBackend *share = &backend->share;
+  int64_t elapsed_us = now_us - share->asked_us;
+
+  if (elapsed_us >= RETRY_US)
+    {
+      double uses = share->opened * (double) RENEW_US / (double) elapsed_us;
+
+      share->uses += 0.3 * (uses - share->uses);
+      share->opened = 0;
+    }
+  share->asked = count_wish (board, backend);
+  share->asked_us = now_us;
+  share->ask_sequence = message->sequence;
+  if (share->unanswered_us == 0)
+    share->unanswered_us = now_us;
+  message->slots[message->slot_count++] = (TtPeerSlot){ .backend_id = backend->id,
+                                                        .used = backend->attempts.count,
+                                                        .slots = share->asked };
+}
+
+/// Sends one ASK, or several if one is full, for all slots of one pool at one keeper. The first
+/// slot carries the pool's id and this daemon's demand, from which the keeper computes the mean.
+static void
+ask_keeper (TtBoard *board, TtPool *pool, uint64_t keeper_id, int64_t now_us)
+{
+  const TtMember *keeper = find_member (board, keeper_id);
+  TtPeerMessage *message = NULL;
+
+  if (keeper == NULL)
+    return;
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (backend->share.keeper_id != keeper_id || !has_interest (backend))
+        continue;
+      if (message == NULL || message->share.slot_count == TT_PEER_SLOTS)
+        {
+          message = tt_board_send (board, keeper, TT_PEER_SHARE_ASK);
+          if (message == NULL)
+            return;
+          message->share.sequence = ++board->share.sequence;
+          if (backend->domain_id == board->domain_id)
+            message->share.slots[message->share.slot_count++]
+                = (TtPeerSlot){ .backend_id = pool->id, .used = count_demand (pool) };
+        }
+      add_slot (board, &message->share, backend, now_us);
+    }
+}
+
+/// Answers a borrower.
+static void
+answer_ask (TtBoard *board, const TtPeerMessage *ask, int64_t now_us)
+{
+  const TtMember *sender = find_member (board, ask->sender_id);
+  TtPeerMessage *answer;
+
+  if (sender == NULL)
+    return;
+  answer = tt_board_send (board, sender, TT_PEER_SHARE_LEND);
+  if (answer == NULL)
+    return;
+  answer->share.sequence = ask->share.sequence;
+  for (uint32_t i = 0; i < ask->share.slot_count && i < TT_PEER_SLOTS; i++)
+    {
+      const TtPeerSlot *slot = &ask->share.slots[i];
+      TtBackendServer *backend = tt_backend_find (board, slot->backend_id);
+      TtPool *pool = backend == NULL ? tt_pool_find (board, slot->backend_id) : NULL;
+      TtLoanAsk loan = { .member_id = ask->sender_id,
+                         .incarnation = ask->sender_incarnation,
+                         .sequence = ask->share.sequence,
+                         .used = slot->used,
+                         .wanted = slot->slots };
+      TtPeerSlot lent = { .backend_id = slot->backend_id };
+
+      if (pool != NULL)
+        {
+          tt_keeper_note_demand (board, pool, &loan, now_us);
+          continue;
+        }
+      // A period of 0 tells the borrower that this daemon is not the keeper.
+      if (backend != NULL && backend->pool != NULL && tt_keeper_is_self (board, backend))
+        {
+          if (!tt_keeper_lend (board, backend, &loan, &lent.slots, now_us))
+            continue;
+          lent.period_ms = (uint32_t) (TT_LOAN_PERIOD_US / TT_MILLISECOND_US);
+        }
+      answer->share.slots[answer->share.slot_count++] = lent;
+    }
+}
+
+/// Stops asking a keeper for a while.
+static void
+note_denial (TtShareBackend *share, int64_t now_us)
+{
+  share->denied_until_us = now_us + (DENIED_US << share->denials);
+  if (share->denials < MAX_DENIED_SHIFT)
+    share->denials++;
+}
+
+/// Takes the keeper's answer. Only the answer to the last ASK counts, and the loan runs from the
+/// time at which that ASK was sent, so that late and repeated answers lengthen no loan.
+static void
+take_lend (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
+{
+  for (uint32_t i = 0; i < message->share.slot_count && i < TT_PEER_SLOTS; i++)
+    {
+      const TtPeerSlot *slot = &message->share.slots[i];
+      TtBackendServer *backend = tt_backend_find (board, slot->backend_id);
+      TtShareBackend *share;
+
+      if (backend == NULL || backend->pool == NULL || backend->share.keeper_id != message->sender_id
+          || backend->share.ask_sequence != message->share.sequence)
+        continue;
+      share = &backend->share;
+      share->ask_sequence = 0;
+      if (slot->period_ms == 0)
+        note_denial (share, now_us);
+      else
+        {
+          share->unanswered_us = 0;
+          share->orphan = false;
+          share->lent = slot->slots;
+          share->lent_until_us = share->asked_us + slot->period_ms * TT_MILLISECOND_US;
+          if (slot->slots >= share->asked)
+            share->denials = 0;
+          else if (slot->slots <= backend->attempts.count)
+            note_denial (share, now_us);
+        }
+      refresh_backend (board, backend, now_us);
+      board->share.version++;
+    }
+}
+
+/// Slots of a daemon whose keeper cannot be reached: its part of the last known room.
+static uint32_t
+count_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+{
+  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
+  double mean = backend->pool->share.mean_load * members;
+  double room = ceil (backend->pool->spec.load_multiple * mean) + 1.0;
+
+  if (backend->share.seen_us != 0 && now_us - backend->share.seen_us < SEEN_US)
+    room = backend->share.seen_room;
+  if (room > backend->batch_limit || backend->pool->spec.type == TT_SERVICE_PLAIN)
+    room = backend->batch_limit;
+  return (uint32_t) room / members;
+}
+
+/// Ends the loan of a backend server whose time is over, or replaces it by the fallback.
+static void
+check_loan (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtShareBackend *share = &backend->share;
+  bool silent = share->unanswered_us != 0 && now_us - share->unanswered_us >= ORPHAN_US;
+
+  if (tt_keeper_is_self (board, backend))
+    share->orphan = false;
+  else if (share->orphan || (now_us >= share->lent_until_us && (silent || share->keeper_id == 0)))
+    {
+      share->orphan = true;
+      share->lent = count_fallback (board, backend, now_us);
+      share->lent_until_us = now_us + 2 * TT_TICK_US;
+    }
+  else if (now_us >= share->lent_until_us)
+    share->lent = 0;
+}
+
+/// Computes all sums again: backend servers come, leave and change their state between events.
+static void
+refresh_all (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+
+      (void) tt_keeper_update_room (board, pool, now_us);
+      pool->share.idle_slots = 0;
+      pool->share.free_slots = 0;
+      pool->share.free_long_slots = 0;
+      pool->share.used = 0;
+      TT_LIST_FOREACH (&pool->backends, b)
+        {
+          TtBackendServer *backend = TT_CONTAINER_OF (b, TtBackendServer, pool_link);
+
+          backend->share.idle = 0;
+          backend->share.free = 0;
+          backend->share.free_long = 0;
+          backend->share.used = 0;
+          check_loan (board, backend, now_us);
+          refresh_backend (board, backend, now_us);
+        }
+    }
+}
+
+/// Renews loans that end soon and repeats what was not answered.
+static void
+renew_loans (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+      TtShareBackend *share = &backend->share;
+      int64_t pause_us = share->ask_sequence != 0 && !share->orphan ? RETRY_US : RENEW_US;
+
+      if (backend->pool != NULL && !tt_keeper_is_self (board, backend) && share->keeper_id != 0
+          && has_interest (backend) && now_us - share->asked_us >= pause_us)
+        ask_keeper (board, backend->pool, share->keeper_id, now_us);
+    }
+}
+
+/// Does what depends on time only, once in a tick also if the ticks are late.
+static void
+check_time (TtBoard *board, int64_t now_us)
+{
+  TtShareSection *section = &board->share;
+
+  if (section->opened_us == 0)
+    section->opened_us = now_us;
+  section->asks += ASKS_PER_S * (double) (now_us - section->checked_us) / (double) TT_SECOND_US;
+  if (section->asks > ASK_BURST)
+    section->asks = ASK_BURST;
+  section->checked_us = now_us;
+  section->backends = board->backends.all.count + board->backends.pools.count;
+  tt_keeper_elect (board, now_us);
+  tt_keeper_expire (board, now_us);
+  refresh_all (board, now_us);
+  renew_loans (board, now_us);
+}
+
+static int
+open_share (void *context, TtBoard *board)
+{
+  (void) context;
+  return tt_keeper_open (board);
+}
+
+static void
+close_share (void *context, TtBoard *board)
+{
+  (void) context;
+  tt_keeper_close (board);
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  (void) context;
+  if (now_us - board->share.checked_us >= TT_TICK_US)
+    check_time (board, now_us);
+  if (event->type != TT_EVENT_PEER)
+    return;
+  if (event->peer->type == TT_PEER_SHARE_ASK)
+    answer_ask (board, event->peer, now_us);
+  else if (event->peer->type == TT_PEER_SHARE_LEND)
+    take_lend (board, event->peer, now_us);
+  else if (event->peer->type == TT_PEER_LEAVE)
+    tt_keeper_forget (board, event->peer->sender_id);
+}
+
+/// Lends to this daemon again where its demand changed the room.
+static void
+follow_demand (TtBoard *board, TtPool *pool, int64_t now_us)
+{
+  if (pool->share.demand == count_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
+    return;
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (tt_keeper_is_self (board, backend))
+        refresh_backend (board, backend, now_us);
+    }
+}
+
+/// Lends to this daemon, or asks the keepers, where requests wait for a slot.
+static void
+serve_wanted (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->place.wanted, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, place.wanted_link);
+
+      if (backend->pool == NULL)
+        continue;
+      if (tt_keeper_is_self (board, backend))
+        refresh_backend (board, backend, now_us);
+      else if (backend->share.ask_sequence == 0 && board->share.asks >= 1.0
+               && tt_slot_can_ask (backend, now_us))
+        {
+          board->share.asks -= 1.0;
+          ask_keeper (board, backend->pool, backend->share.keeper_id, now_us);
+        }
+    }
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  TtShareSection *section = &board->share;
+  TtLink *link;
+
+  (void) context;
+  if (section->backends != board->backends.all.count + board->backends.pools.count)
+    check_time (board, now_us);
+  while ((link = tt_list_pop (&section->touched)) != NULL)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (link, TtBackendServer, share.touched_link);
+
+      if (backend->pool != NULL)
+        refresh_backend (board, backend, now_us);
+    }
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+
+      // Only requests that found no slot make it worth to compute the room between two ticks.
+      if (pool->place.waiting > 0)
+        follow_demand (board, pool, now_us);
+    }
+  serve_wanted (board, now_us);
+}
 
 TtController
 tt_share_controller (void)
 {
-  return (TtController){ .name = "share" };
+  return (TtController){
+    .name = "share", .open = open_share, .close = close_share, .on_event = on_event, .run = run
+  };
 }
--- /dev/null
+++ b/src/tarragontrack/control/slot.c
@@ -0,0 +1,38 @@
+#include "tarragontrack/control/slot.h"
+#include "tarragontrack/board/hash.h"
+
+bool
+tt_slot_usable (const TtBackendServer *backend)
+{
+  return backend->roster.state == TT_BACKEND_LIVE && !backend->health.ejected;
+}
+
+uint32_t
+tt_slot_idle (const TtBackendServer *backend, int64_t now_us)
+{
+  const TtShareBackend *share = &backend->share;
+
+  if (now_us >= share->lent_until_us || share->lent <= backend->attempts.count)
+    return 0;
+  return share->lent - backend->attempts.count;
+}
+
+bool
+tt_slot_can_ask (const TtBackendServer *backend, int64_t now_us)
+{
+  if (backend->share.keeper_since_us != 0)
+    return backend->share.free > 0;
+  return !backend->share.orphan && backend->share.keeper_id != 0
+         && now_us >= backend->share.denied_until_us;
+}
+
+uint32_t
+tt_slot_long_cap (const TtBoard *board, const TtBackendServer *backend)
+{
+  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
+  double share = backend->pool->spec.long_share * backend->batch_limit / members;
+  uint32_t cap = (uint32_t) share;
+  uint64_t draw = tt_hash_pair (board->member.self->entry.id, backend->id);
+
+  return (double) (draw >> 11) * 0x1.0p-53 < share - cap ? cap + 1 : cap;
+}
--- /dev/null
+++ b/src/tarragontrack/control/slot.h
@@ -0,0 +1,19 @@
+/// This daemon's slots on one backend server, as `share` and `place` see them.
+#pragma once
+
+#include "tarragontrack/board/board_defs.h"
+
+/// True if new work may go to the backend server.
+bool tt_slot_usable (const TtBackendServer *backend);
+
+/// Slots that are lent to this daemon and not used.
+uint32_t tt_slot_idle (const TtBackendServer *backend, int64_t now_us);
+
+/// True if the keeper may lend another slot: it did not refuse one a moment ago.
+bool tt_slot_can_ask (const TtBackendServer *backend, int64_t now_us);
+
+/// tt_slot_long_cap - long jobs this daemon may run on the backend server at once
+///
+/// NOTES      this daemon's part of long_share * batch_limit. A fraction of a slot is rounded up
+///            on some daemons and down on the others, so that the sum stays near the cap.
+uint32_t tt_slot_long_cap (const TtBoard *board, const TtBackendServer *backend);
