feat(admission): release against the slots that share counts

Cause: share and place are merged; the release counted batch limits itself. Change: admit releases while free_slots exceed the released requests, and waits for share's count after a change. share follows queued demand. Slow start caps the slots of a returning engine. Hedges use lent slots only. Result: control tests of admit, length, health, retry, poison, drain, path pass.

--- a/src/tarragontrack/control/admit_queue.c
+++ b/src/tarragontrack/control/admit_queue.c
@@ -2,7 +2,6 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/admit.h"
-#include "tarragontrack/control/progress.h"
 
 #define TOKENS_PER_UNIT 100.0 // cost of a request in fair queueing: one, and one per 100 tokens
 #define SERVICE_GAIN 0.05     // of one interval between two releases
@@ -200,39 +199,15 @@
       {
         const TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
 
+        // `share` has already taken off the slots that requests wait for at a keeper.
+        if (request->place.wait_id != 0)
+          continue;
         request->pool->admit.ready++;
         if (request->length.is_long)
           request->pool->admit.long_ready++;
       }
 }
 
-/// Free slots of a pool: all, and those that long jobs may use.
-static void
-free_slots (const TtPool *pool, int64_t now_us, uint32_t *slots, uint32_t *long_slots)
-{
-  uint32_t long_cap = 0;
-  uint32_t long_used = 0;
-
-  *slots = 0;
-  TT_LIST_FOREACH (&pool->backends, it)
-    {
-      const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
-      uint32_t limit = tt_backend_limit (backend, now_us);
-
-      if (backend->roster.state != TT_BACKEND_LIVE)
-        continue;
-      if (limit > backend->attempts.count)
-        *slots += limit - backend->attempts.count;
-      long_cap += (uint32_t) (limit * pool->spec.long_share + 0.999);
-      TT_LIST_FOREACH (&backend->attempts, a)
-        if (TT_CONTAINER_OF (a, TtAttempt, backend_link)->request->length.is_long)
-          long_used++;
-    }
-  *long_slots = long_cap > long_used ? long_cap - long_used : 0;
-  if (*long_slots > *slots)
-    *long_slots = *slots;
-}
-
 /// True if the request may be released beside those already released.
 static bool
 may_release (const TtRequest *request, uint32_t long_slots)
@@ -307,19 +282,22 @@
 void
 tt_admit_release (TtBoard *board, int64_t now_us)
 {
+  if (board->admit.queued == 0)
+    return;
+  // Attempts changed since `share` counted the free slots; it counts again in this pass.
+  if (board->share.touched.count > 0)
+    {
+      board->dirty = true;
+      return;
+    }
   count_ready (board);
   TT_LIST_FOREACH (&board->backends.pools, it)
     {
       TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
-      uint32_t slots;
-      uint32_t long_slots;
 
-      if (pool->admit.queued == 0)
-        continue;
-      free_slots (pool, now_us, &slots, &long_slots);
-      while (pool->admit.ready < slots)
+      while (pool->admit.queued > 0 && pool->admit.ready < pool->share.free_slots)
         {
-          TtRequest *request = next_request (&pool->admit, long_slots, now_us);
+          TtRequest *request = next_request (&pool->admit, pool->share.free_long_slots, now_us);
 
           if (request == NULL)
             break;
--- a/src/tarragontrack/control/retry_second.c
+++ b/src/tarragontrack/control/retry_second.c
@@ -3,6 +3,7 @@
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/progress.h"
 #include "tarragontrack/control/retry.h"
+#include "tarragontrack/control/slot.h"
 
 #define BACKOFF_US (20 * TT_MILLISECOND_US) // before the first retry; doubles with each
 #define RETRY_WAIT_US (5 * TT_SECOND_US)    // longest wait of a retry for a backend server
@@ -148,14 +149,14 @@
   TT_LIST_FOREACH (&open->request->pool->backends, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
-      uint32_t limit = tt_backend_limit (backend, now_us);
       double load;
 
+      // Only a slot that is lent: a hedge must not push an engine over the load bound.
       if (backend == open->backend || backend->domain_id != board->domain_id
-          || backend->roster.state != TT_BACKEND_LIVE || backend->attempts.count >= limit
+          || !tt_slot_usable (backend) || tt_slot_idle (backend, now_us) == 0
           || backend->health.factor < 1.0)
         continue;
-      load = (double) backend->attempts.count / limit;
+      load = (double) backend->attempts.count / backend->batch_limit;
       if (best == NULL || load < best_load)
         {
           best = backend;
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -417,6 +417,7 @@
 {
   if (pool->share.demand == count_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
     return;
+  board->dirty = true;
   TT_LIST_FOREACH (&pool->backends, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
@@ -468,7 +469,7 @@
       TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
 
       // Only requests that found no slot make it worth to compute the room between two ticks.
-      if (pool->place.waiting > 0)
+      if (pool->place.waiting > 0 || pool->admit.queued > 0)
         follow_demand (board, pool, now_us);
     }
   serve_wanted (board, now_us);
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -1,5 +1,6 @@
 #include "tarragontrack/control/slot.h"
 #include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/progress.h"
 
 bool
 tt_slot_usable (const TtBackendServer *backend)
@@ -11,15 +12,19 @@
 tt_slot_idle (const TtBackendServer *backend, int64_t now_us)
 {
   const TtShareBackend *share = &backend->share;
+  uint32_t limit = tt_backend_limit (backend, now_us);
+  uint32_t slots = share->lent < limit ? share->lent : limit;
 
-  if (now_us >= share->lent_until_us || share->lent <= backend->attempts.count)
+  if (now_us >= share->lent_until_us || slots <= backend->attempts.count)
     return 0;
-  return share->lent - backend->attempts.count;
+  return slots - backend->attempts.count;
 }
 
 bool
 tt_slot_can_ask (const TtBackendServer *backend, int64_t now_us)
 {
+  if (backend->attempts.count >= tt_backend_limit (backend, now_us))
+    return false;
   if (backend->share.keeper_since_us != 0)
     return backend->share.free > 0;
   return !backend->share.orphan && backend->share.keeper_id != 0
