feat(admission): flows in fair queueing, and room for short work

Cause: a shed request kept its cost, so an account lost up to half of its fair share after shedding; two kinds of work shared one entry of the length table, so 15 % of the long jobs counted as short; aged work of the same class went before fair shares. Change: one flow an account with a tag that only service raises; four-way sets in the length table and predictions renewed in the queue; ageing only across classes; long jobs leave a reserve of free slots once they have half of their share; one long job that waits for a slot does not hold up short work.

--- a/bench/support/engine.c
+++ b/bench/support/engine.c
@@ -123,7 +123,9 @@
       tt_list_append (&engine->running, &request->link);
       request->started_us = sim->now_us;
       request->cached_tokens = sim_cached_tokens (engine, request);
-      fresh = request->prompt_tokens - request->cached_tokens;
+      // A resumed answer is part of the prompt.
+      fresh = request->prompt_tokens - request->cached_tokens + request->answer_tokens
+              - request->left;
       store_entry (sim, engine, request->chat->prefix_key, request->chat->prefix_tokens);
       store_entry (sim, engine, request->chat->key, request->prompt_tokens);
       sim_push (
@@ -138,6 +140,7 @@
 sim_engine_submit (Sim *sim, SimEngine *engine, SimRequest *request)
 {
   request->engine = engine;
+  request->started_us = 0;
   engine->in_flight[request->router]++;
   tt_list_append (&engine->waiting, &request->link);
   fill_batch (sim, engine);
@@ -158,6 +161,31 @@
   fill_batch (sim, engine);
 }
 
+/// Produces the first or more tokens of an answer, and schedules the next ones or the end.
+static void
+produce_tokens (Sim *sim, const SimEvent *event)
+{
+  SimRequest *request = &sim->requests[event->index];
+  SimRequest *owner = request->owner != NULL ? request->owner : request;
+  uint32_t step = sim->config.progress_tokens;
+  uint32_t tokens = event->type == SIM_EVENT_FIRST ? 1 : step;
+  bool last;
+
+  if (owner->first_us == 0)
+    owner->first_us = sim->now_us;
+  if (tokens > request->left)
+    tokens = request->left;
+  request->left -= tokens;
+  last = step == 0 || request->left <= step;
+  sim_push (sim,
+            sim->now_us
+                + (int64_t) ((last ? request->left : step) * sim->config.decode_us
+                             * request->engine->slow),
+            last ? SIM_EVENT_DONE : SIM_EVENT_STEP, event->index, event->stamp, NULL);
+  if (sim->boards != NULL)
+    sim_router_progress (sim, request, tokens);
+}
+
 void
 sim_engine_event (Sim *sim, const SimEvent *event)
 {
@@ -166,15 +194,9 @@
 
   if (request->serial != event->stamp || engine == NULL)
     return;
-  if (event->type == SIM_EVENT_FIRST)
+  if (event->type == SIM_EVENT_FIRST || event->type == SIM_EVENT_STEP)
     {
-      request->first_us = sim->now_us;
-      sim_push (sim,
-                sim->now_us
-                    + (int64_t) (request->answer_tokens * sim->config.decode_us * engine->slow),
-                SIM_EVENT_DONE, event->index, event->stamp, NULL);
-      if (sim->boards != NULL)
-        sim_router_progress (sim, request);
+      produce_tokens (sim, event);
       return;
     }
   store_entry (sim, engine, request->chat->key, request->prompt_tokens + request->answer_tokens);
--- a/bench/support/router.c
+++ b/bench/support/router.c
@@ -211,13 +211,16 @@
   TtEvent event = { .type = TT_EVENT_ATTEMPT_SENT };
 
   event.attempt.attempt_id = action->attempt_id;
-  if (request == NULL || engine == NULL || !engine->up || request->engine != NULL)
+  if (request != NULL && request->engine != NULL)
+    request = sim_hedge_open (sim, request);
+  if (request == NULL || engine == NULL || !engine->up)
     {
       event.type = TT_EVENT_ATTEMPT_FAILED;
       tt_board_step (sim->boards[router], &event, sim->now_us);
       return;
     }
   request->attempt_id = action->attempt_id;
+  request->left = request->answer_tokens - action->resume_from;
   sim_engine_submit (sim, engine, request);
   tt_board_step (sim->boards[router], &event, sim->now_us);
 }
@@ -242,6 +245,9 @@
           request = find_request (sim, router, action->attempt.request_id);
           if (request != NULL && request->attempt_id == action->attempt.attempt_id)
             sim_engine_cancel (sim, request);
+          else if (request != NULL && request->hedge != NULL
+                   && request->hedge->attempt_id == action->attempt.attempt_id)
+            sim_hedge_close (sim, request);
           break;
         case TT_ACTION_REPLY:
           request = find_request (sim, router, action->reply.request_id);
@@ -370,12 +376,12 @@
 }
 
 void
-sim_router_progress (Sim *sim, SimRequest *request)
+sim_router_progress (Sim *sim, SimRequest *request, uint32_t tokens)
 {
   TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS };
   uint32_t router = request->router;
 
-  event.attempt = (TtAttemptEvent){ .attempt_id = request->attempt_id, .tokens = 1 };
+  event.attempt = (TtAttemptEvent){ .attempt_id = request->attempt_id, .tokens = tokens };
   tt_board_step (sim->boards[router], &event, sim->now_us);
   drain_actions (sim, router);
 }
@@ -388,13 +394,21 @@
   uint64_t request_id = request->request_id;
 
   event.attempt = (TtAttemptEvent){ .attempt_id = request->attempt_id,
-                                    .tokens = request->answer_tokens,
+                                    .tokens = request->left,
                                     .status = 200,
                                     .cached_tokens = request->cached_tokens,
                                     .sent = true };
   request->engine = NULL;
   request->serial++;
   request->started_us = failed ? 0 : request->started_us;
+  if (request->owner != NULL)
+    {
+      SimRequest *owner = request->owner;
+
+      owner->cached_tokens = request->cached_tokens;
+      sim_hedge_close (sim, owner);
+      request = owner;
+    }
   tt_board_step (sim->boards[router], &event, sim->now_us);
   if (!failed && find_request (sim, router, request_id) == request)
     sim_request_end (sim, request, TT_OUTCOME_COMPLETE);
--- a/bench/support/sim.c
+++ b/bench/support/sim.c
@@ -231,6 +231,7 @@
       handle_surge (sim);
       break;
     case SIM_EVENT_FIRST:
+    case SIM_EVENT_STEP:
     case SIM_EVENT_DONE:
       sim_engine_event (sim, event);
       break;
--- a/bench/support/sim.h
+++ b/bench/support/sim.h
@@ -37,7 +37,9 @@
   uint32_t home_domain; ///< clients enter through this failure domain
 } SimChat;
 
-typedef struct
+typedef struct SimRequest SimRequest;
+
+struct SimRequest
 {
   TtLink link;     ///< on SimEngine.waiting, SimEngine.running or Sim.free_requests
   uint64_t serial; ///< changes with each use of the record
@@ -52,12 +54,15 @@
   uint64_t request_id;
   uint64_t attempt_id;
   uint32_t cached_tokens;
+  uint32_t left;     ///< answer tokens that this attempt still has to produce
+  SimRequest *owner; ///< of a hedge: the request that it belongs to; else NULL
+  SimRequest *hedge; ///< open second attempt; NULL if there is none
   int64_t arrived_us;
   int64_t started_us; ///< begin of the prefill; 0 = not yet
   int64_t first_us;   ///< first token
   int64_t ended_us;
   TtOutcome outcome;
-} SimRequest;
+};
 
 typedef struct
 {
@@ -68,8 +73,9 @@
   uint32_t routers; ///< in all; router i is in failure domain i % domains
   uint32_t batch;   ///< requests an engine runs at once
   uint64_t cache_tokens;
-  double prefill_us; ///< for each uncached prompt token
-  double decode_us;  ///< for each answer token
+  double prefill_us;        ///< for each uncached prompt token
+  double decode_us;         ///< for each answer token
+  uint32_t progress_tokens; ///< tokens of one progress event; 0 = first token and end only
   uint32_t accounts;
   double skew;            ///< weight of account i is (i + 1) to the power of -skew
   uint32_t prefixes;      ///< shared prefixes of each account
@@ -215,6 +221,7 @@
   SIM_EVENT_ARRIVAL,
   SIM_EVENT_SURGE,
   SIM_EVENT_FIRST, ///< first token: index of the request, stamp of its use
+  SIM_EVENT_STEP,  ///< more tokens
   SIM_EVENT_DONE,
   SIM_EVENT_PEER, ///< data: the message; index of the receiver
   SIM_EVENT_TICK,
@@ -239,6 +246,10 @@
 void sim_workload_close (Sim *sim);
 void sim_arrive (Sim *sim, bool surge);
 void sim_request_end (Sim *sim, SimRequest *request, TtOutcome outcome);
+/// Takes a record for a second attempt of @request; NULL if none is free.
+SimRequest *sim_hedge_open (Sim *sim, SimRequest *request);
+/// Cancels the second attempt of @request, if it has one, and frees its record.
+void sim_hedge_close (Sim *sim, SimRequest *request);
 
 SimEngine *sim_policy_pick (Sim *sim, const SimRequest *request);
 int sim_policy_open (Sim *sim);
@@ -246,7 +257,7 @@
 int sim_router_open (Sim *sim);
 void sim_router_close (Sim *sim);
 void sim_router_request (Sim *sim, SimRequest *request);
-void sim_router_progress (Sim *sim, SimRequest *request);
+void sim_router_progress (Sim *sim, SimRequest *request, uint32_t tokens);
 void sim_router_done (Sim *sim, SimRequest *request, bool failed);
 void sim_router_peer (Sim *sim, uint32_t router, const TtPeerMessage *message);
 void sim_router_tick (Sim *sim, uint32_t router);
--- a/bench/support/workload.c
+++ b/bench/support/workload.c
@@ -90,7 +90,8 @@
   for (uint32_t i = 0; i < sim->idle_count; i++)
     free (sim->idle[i]);
   for (uint32_t i = 0; sim->requests != NULL && i < sim->request_count; i++)
-    free (sim->requests[i].chat);
+    if (sim->requests[i].owner == NULL)
+      free (sim->requests[i].chat);
   free (sim->idle);
   free (sim->requests);
   free (sim->account_sums);
@@ -144,6 +145,7 @@
   request->arrived_us = sim->now_us;
   if (sim->config.shape != NULL)
     sim->config.shape (sim->config.context, sim, request);
+  request->left = request->answer_tokens;
   if (sim->boards != NULL)
     {
       sim_router_request (sim, request);
@@ -159,6 +161,41 @@
   }
 }
 
+SimRequest *
+sim_hedge_open (Sim *sim, SimRequest *request)
+{
+  TtLink *link = request->hedge == NULL ? tt_list_pop (&sim->free_requests) : NULL;
+  SimRequest *hedge;
+  uint64_t serial;
+
+  if (link == NULL)
+    return NULL;
+  hedge = TT_CONTAINER_OF (link, SimRequest, link);
+  serial = hedge->serial + 1;
+  *hedge = *request;
+  tt_link_init (&hedge->link);
+  hedge->serial = serial;
+  hedge->engine = NULL;
+  hedge->owner = request;
+  request->hedge = hedge;
+  return hedge;
+}
+
+void
+sim_hedge_close (Sim *sim, SimRequest *request)
+{
+  SimRequest *hedge = request->hedge;
+
+  if (hedge == NULL)
+    return;
+  sim_engine_cancel (sim, hedge);
+  request->hedge = NULL;
+  hedge->chat = NULL;
+  hedge->owner = NULL;
+  hedge->serial++;
+  tt_list_append (&sim->free_requests, &hedge->link);
+}
+
 /// Adds an ended request to the result.
 static void
 count_request (Sim *sim, const SimRequest *request)
@@ -186,6 +223,7 @@
 {
   SimChat *chat = request->chat;
 
+  sim_hedge_close (sim, request);
   request->outcome = outcome;
   request->ended_us = sim->now_us;
   if (sim->measuring)
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -20,8 +20,6 @@
   TT_BACKEND_BUCKETS = 256
 };
 
-typedef struct TtPool TtPool;
-
 struct TtBackendServer
 {
   TtLink link;        ///< on TtBackendSection.all
--- a/src/tarragontrack/board/length_defs.h
+++ b/src/tarragontrack/board/length_defs.h
@@ -22,11 +22,14 @@
   uint64_t key; ///< hash of account, kind and service; 0 = unused
   float mean_tokens;
   float deviation_tokens;
+  int64_t learned_us;
 } TtLengthEntry;
 
-/// BOUNDS     entry_count entries, a fixed table; an older entry of the same slot is replaced
+/// BOUNDS     entry_count entries, a fixed table; the one of a set that learned longest ago is
+///            replaced
 typedef struct
 {
   TtLengthEntry *entries;
   uint32_t entry_count;
+  int64_t next_check_us;
 } TtLengthSection;
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -18,6 +18,8 @@
 open_admit (void *context, TtBoard *board)
 {
   (void) context;
+  if (tt_admit_open_flows (board) < 0)
+    return TT_E_NO_MEMORY;
   return tt_admit_open_accounts (board);
 }
 
@@ -26,6 +28,7 @@
 {
   (void) context;
   tt_admit_close_accounts (board);
+  tt_admit_close_flows (board);
 }
 
 /// Document in force of a team; NULL if there is none.
--- a/src/tarragontrack/control/admit.h
+++ b/src/tarragontrack/control/admit.h
@@ -1,4 +1,5 @@
-/// Parts of `admit`: client accounts (admit_account.c) and queues (admit_queue.c).
+/// Parts of `admit`: client accounts (admit_account.c), flows (admit_flow.c) and queues
+/// (admit_queue.c).
 #pragma once
 
 #include "tarragontrack/board/board_defs.h"
@@ -32,6 +33,31 @@
 ///            the limit
 uint32_t tt_admit_room (const TtClientAccount *account);
 
+/// Allocates the flows. RETURN 0 or TT_E_NO_MEMORY.
+int tt_admit_open_flows (TtBoard *board);
+
+/// Frees the flows.
+void tt_admit_close_flows (TtBoard *board);
+
+/// Forgets the idle flows of an account that is freed.
+void tt_admit_forget_flows (TtBoard *board, const TtClientAccount *account);
+
+/// Appends a request to its flow.
+///
+/// ARGUMENTS  cost: in units of fair queueing
+void tt_admit_flow_append (TtBoard *board, TtRequest *request, double cost);
+
+/// tt_admit_flow_remove - removes a request from its flow
+///
+/// ARGUMENTS  served: its cost is charged to the flow
+void tt_admit_flow_remove (TtBoard *board, TtRequest *request, bool served);
+
+/// Requests of the pool that are served before the last one of @flow, if no more arrive.
+double tt_admit_flow_before (const TtAdmitFlow *flow);
+
+/// Finish tag of the last request of the flow.
+double tt_admit_flow_end (const TtAdmitFlow *flow);
+
 /// tt_admit_refuse - ends a request that has had no attempt
 ///
 /// ARGUMENTS  reason: ends the sentence of the error's detail
--- a/src/tarragontrack/control/admit_account.c
+++ b/src/tarragontrack/control/admit_account.c
@@ -8,11 +8,6 @@
 #define PEER_EXPIRY_US (30 * TT_SECOND_US) // a count arrives every N/2 s among N daemons
 #define BURST_US (1 * TT_SECOND_US)        // of the rate that may start at once
 
-enum
-{
-  FINISH_TAGS = TT_MAX_SERVICES * TT_PRIORITY_COUNT // of one account
-};
-
 int
 tt_admit_open_accounts (TtBoard *board)
 {
@@ -25,10 +20,8 @@
   for (int i = 0; i < TT_ACCOUNT_BUCKETS; i++)
     tt_list_init (&section->buckets[i]);
   section->pool = calloc (section->max_accounts, sizeof *section->pool);
-  section->virtual_finish
-      = calloc ((size_t) section->max_accounts * FINISH_TAGS, sizeof *section->virtual_finish);
   section->peers = calloc (TT_ACCOUNT_PEERS, sizeof *section->peers);
-  if (section->pool == NULL || section->virtual_finish == NULL || section->peers == NULL)
+  if (section->pool == NULL || section->peers == NULL)
     return TT_E_NO_MEMORY;
   for (uint32_t i = 0; i < section->max_accounts; i++)
     tt_list_append (&section->free_accounts, &section->pool[i].link);
@@ -39,7 +32,6 @@
 tt_admit_close_accounts (TtBoard *board)
 {
   free (board->admit.pool);
-  free (board->admit.virtual_finish);
   free (board->admit.peers);
 }
 
@@ -73,9 +65,6 @@
   memset (account, 0, sizeof *account);
   account->team_id = team_id;
   account->spec.id = account_id;
-  account->virtual_finish
-      = &section->virtual_finish[(size_t) (account - section->pool) * FINISH_TAGS];
-  memset (account->virtual_finish, 0, FINISH_TAGS * sizeof *account->virtual_finish);
   tt_list_append (&section->accounts, &account->link);
   tt_list_append (&section->buckets[account_id % TT_ACCOUNT_BUCKETS], &account->bucket_link);
   return account;
@@ -93,6 +82,7 @@
 
       if (!account->retired || account->in_flight > 0 || account->queued > 0)
         continue;
+      tt_admit_forget_flows (board, account);
       tt_list_remove (&section->buckets[account->spec.id % TT_ACCOUNT_BUCKETS],
                       &account->bucket_link);
       tt_list_remove (&section->accounts, &account->link);
--- /dev/null
+++ b/src/tarragontrack/control/admit_flow.c
@@ -0,0 +1,206 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/admit.h"
+#include <stdlib.h>
+
+int
+tt_admit_open_flows (TtBoard *board)
+{
+  TtAdmitSection *section = &board->admit;
+  uint32_t count = board->config.max_requests + TT_IDLE_FLOWS;
+
+  tt_list_init (&section->idle_flows);
+  tt_list_init (&section->free_flows);
+  for (int i = 0; i < TT_ACCOUNT_BUCKETS; i++)
+    tt_list_init (&section->flow_buckets[i]);
+  section->flows = calloc (count, sizeof *section->flows);
+  if (section->flows == NULL)
+    return TT_E_NO_MEMORY;
+  for (uint32_t i = 0; i < count; i++)
+    tt_list_append (&section->free_flows, &section->flows[i].link);
+  return TT_OK;
+}
+
+void
+tt_admit_close_flows (TtBoard *board)
+{
+  free (board->admit.flows);
+}
+
+/// Bucket of a flow.
+static TtList *
+bucket_of (TtBoard *board, const TtPool *pool, const TtClientAccount *account, uint32_t priority)
+{
+  uint64_t key = tt_hash_pair (pool->id, account->spec.id + priority);
+
+  return &board->admit.flow_buckets[key % TT_ACCOUNT_BUCKETS];
+}
+
+/// Frees a flow in which nothing waits.
+static void
+free_flow (TtBoard *board, TtAdmitFlow *flow)
+{
+  tt_list_remove (bucket_of (board, flow->pool, flow->account, flow->priority), &flow->bucket_link);
+  tt_list_remove (&board->admit.idle_flows, &flow->link);
+  tt_list_append (&board->admit.free_flows, &flow->link);
+}
+
+void
+tt_admit_forget_flows (TtBoard *board, const TtClientAccount *account)
+{
+  TT_LIST_FOREACH (&board->admit.idle_flows, it)
+    {
+      TtAdmitFlow *flow = TT_CONTAINER_OF (it, TtAdmitFlow, link);
+
+      if (flow->account == account)
+        free_flow (board, flow);
+    }
+}
+
+/// Takes an unused flow, or the one idle longest.
+static TtAdmitFlow *
+take_flow (TtBoard *board)
+{
+  TtAdmitSection *section = &board->admit;
+
+  if (tt_list_first (&section->free_flows) == NULL)
+    free_flow (board, TT_CONTAINER_OF (tt_list_first (&section->idle_flows), TtAdmitFlow, link));
+  return TT_CONTAINER_OF (tt_list_pop (&section->free_flows), TtAdmitFlow, link);
+}
+
+/// The flow of a request, or a new one.
+static TtAdmitFlow *
+flow_of (TtBoard *board, const TtRequest *request)
+{
+  TtList *bucket = bucket_of (board, request->pool, request->account, request->priority);
+  TtAdmitFlow *flow;
+
+  TT_LIST_FOREACH (bucket, it)
+    {
+      flow = TT_CONTAINER_OF (it, TtAdmitFlow, bucket_link);
+      if (flow->pool == request->pool && flow->account == request->account
+          && flow->priority == request->priority && flow->is_long == request->length.is_long)
+        return flow;
+    }
+  flow = take_flow (board);
+  *flow = (TtAdmitFlow){ .pool = request->pool,
+                         .account = request->account,
+                         .priority = request->priority,
+                         .is_long = request->length.is_long };
+  tt_link_init (&flow->link);
+  tt_link_init (&flow->bucket_link);
+  tt_list_init (&flow->requests);
+  tt_list_append (bucket, &flow->bucket_link);
+  return flow;
+}
+
+static double
+weight_of (const TtAdmitFlow *flow)
+{
+  return flow->account->spec.weight > 0.0 ? flow->account->spec.weight : 1.0;
+}
+
+/// Inserts a flow by its start tag. Two walks from both ends advance together: a flow that was
+/// just served belongs near the end, a new one near the front.
+static void
+insert_flow (TtAdmitFlow *flow)
+{
+  TtList *queue = &flow->pool->admit.queues[flow->priority];
+  TtLink *forward = queue->head.next;
+  TtLink *backward = queue->head.prev;
+
+  while (forward != &queue->head
+         && TT_CONTAINER_OF (forward, TtAdmitFlow, link)->start <= flow->start
+         && TT_CONTAINER_OF (backward, TtAdmitFlow, link)->start > flow->start)
+    {
+      forward = forward->next;
+      backward = backward->prev;
+    }
+  if (forward == &queue->head || TT_CONTAINER_OF (forward, TtAdmitFlow, link)->start > flow->start)
+    tt_list_insert_before (queue, forward, &flow->link);
+  else
+    tt_list_insert_before (queue, backward->next, &flow->link);
+}
+
+void
+tt_admit_flow_append (TtBoard *board, TtRequest *request, double cost)
+{
+  TtAdmitPool *admit = &request->pool->admit;
+  TtAdmitFlow *flow = flow_of (board, request);
+
+  if (flow->requests.count == 0)
+    {
+      tt_list_remove (&board->admit.idle_flows, &flow->link);
+      if (flow->start < admit->virtual_time[flow->priority])
+        flow->start = admit->virtual_time[flow->priority];
+      insert_flow (flow);
+    }
+  tt_list_append (&flow->requests, &request->admit.flow_link);
+  request->admit.flow = flow;
+  request->admit.cost = cost;
+  flow->backlog += cost;
+  admit->waiting[flow->priority]++;
+  admit->queued++;
+  board->admit.queued++;
+  flow->account->queued++;
+}
+
+void
+tt_admit_flow_remove (TtBoard *board, TtRequest *request, bool served)
+{
+  TtAdmitPool *admit = &request->pool->admit;
+  TtAdmitFlow *flow = request->admit.flow;
+
+  tt_list_remove (&flow->requests, &request->admit.flow_link);
+  request->admit.flow = NULL;
+  flow->backlog -= request->admit.cost;
+  admit->waiting[flow->priority]--;
+  admit->queued--;
+  board->admit.queued--;
+  flow->account->queued--;
+  if (!served && flow->requests.count > 0)
+    return;
+  tt_list_remove (&admit->queues[flow->priority], &flow->link);
+  if (served)
+    {
+      if (flow->start > admit->virtual_time[flow->priority])
+        admit->virtual_time[flow->priority] = flow->start;
+      flow->start += request->admit.cost / weight_of (flow);
+    }
+  if (flow->requests.count > 0)
+    {
+      insert_flow (flow);
+      return;
+    }
+  flow->backlog = 0.0;
+  tt_list_append (&board->admit.idle_flows, &flow->link);
+}
+
+double
+tt_admit_flow_end (const TtAdmitFlow *flow)
+{
+  return flow->start + flow->backlog / weight_of (flow);
+}
+
+double
+tt_admit_flow_before (const TtAdmitFlow *flow)
+{
+  const TtList *queue = &flow->pool->admit.queues[flow->priority];
+  double tag = tt_admit_flow_end (flow);
+  double before = flow->requests.count;
+
+  TT_LIST_FOREACH (queue, it)
+    {
+      const TtAdmitFlow *other = TT_CONTAINER_OF (it, TtAdmitFlow, link);
+      double part;
+
+      if (other->start >= tag)
+        break;
+      if (other == flow)
+        continue;
+      part = (tag - other->start) * weight_of (other) / other->backlog;
+      before += other->requests.count * (part < 1.0 ? part : 1.0);
+    }
+  return before - 1.0;
+}
--- a/src/tarragontrack/control/admit_queue.c
+++ b/src/tarragontrack/control/admit_queue.c
@@ -2,31 +2,25 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/admit.h"
+#include <math.h>
 
 #define TOKENS_PER_UNIT 100.0 // cost of a request in fair queueing: one, and one per 100 tokens
+#define RESERVE 2.0           // standard deviations of the number of short requests
 #define SERVICE_GAIN 0.05     // of one interval between two releases
 #define RETRY_AFTER_MIN_MS 1000
 #define RETRY_AFTER_MAX_MS 30000
 
 enum
 {
+  FLOW_DEPTH = 64, // requests of one flow that are looked at
   AGED_PERIOD = 16 // one release in this many goes to work that has waited past half its time
 };
 
-/// Request of a queue link.
+/// Request of a flow's link.
 static TtRequest *
 request_of (TtLink *link)
 {
-  return TT_CONTAINER_OF (link, TtRequest, admit.queue_link);
-}
-
-/// Finish tag of the account in one pool and priority.
-static double *
-finish_tag (const TtBoard *board, const TtRequest *request)
-{
-  size_t pool = (size_t) (request->pool - board->backends.pool_records);
-
-  return &request->account->virtual_finish[pool * TT_PRIORITY_COUNT + request->priority];
+  return TT_CONTAINER_OF (link, TtRequest, admit.flow_link);
 }
 
 /// Milliseconds after which a caller may come back: the time to empty the queue, spread at random
@@ -68,81 +62,43 @@
   tt_admit_refuse (board, request, 503, retry_after_ms (board, &request->pool->admit), reason);
 }
 
-/// Inserts by start tag, from the nearer end; returns the number of requests before it.
-static uint32_t
-insert_by_start (TtList *queue, TtRequest *request)
-{
-  double start = request->admit.virtual_start;
-  TtLink *forward = queue->head.next;
-  TtLink *backward = queue->head.prev;
-  uint32_t steps = 0;
-
-  // The two walks advance together: a surging account belongs near the end, others near the front.
-  for (;; steps++)
-    {
-      if (forward == &queue->head || request_of (forward)->admit.virtual_start > start)
-        {
-          tt_list_insert_before (queue, forward, &request->admit.queue_link);
-          return steps;
-        }
-      if (request_of (backward)->admit.virtual_start <= start)
-        {
-          tt_list_insert_before (queue, backward->next, &request->admit.queue_link);
-          return queue->count - 1 - steps;
-        }
-      forward = forward->next;
-      backward = backward->prev;
-    }
-}
-
 /// The request to shed: lowest priority, then latest finish tag.
 static TtRequest *
 worst_request (TtBoard *board)
 {
-  TtRequest *worst = NULL;
+  const TtAdmitFlow *worst = NULL;
 
   TT_LIST_FOREACH (&board->backends.pools, it)
     {
-      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+      const TtAdmitPool *admit = &TT_CONTAINER_OF (it, TtPool, link)->admit;
+      int p = TT_PRIORITY_COUNT - 1;
 
-      for (int p = TT_PRIORITY_COUNT - 1; p >= 0; p--)
+      while (p > 0 && admit->waiting[p] == 0)
+        p--;
+      TT_LIST_FOREACH (&admit->queues[p], f)
         {
-          TtRequest *last;
-
-          if (pool->admit.queues[p].count == 0)
-            continue;
-          last = request_of (pool->admit.queues[p].head.prev);
-          if (worst == NULL || last->priority > worst->priority
-              || (last->priority == worst->priority
-                  && last->admit.virtual_finish > worst->admit.virtual_finish))
-            worst = last;
-          break;
+          const TtAdmitFlow *flow = TT_CONTAINER_OF (f, TtAdmitFlow, link);
+
+          if (worst == NULL || flow->priority > worst->priority
+              || (flow->priority == worst->priority
+                  && tt_admit_flow_end (flow) > tt_admit_flow_end (worst)))
+            worst = flow;
         }
     }
-  return worst;
+  return worst != NULL ? request_of (worst->requests.head.prev) : NULL;
 }
 
 void
 tt_admit_enqueue (TtBoard *board, TtRequest *request, int64_t now_us)
 {
   TtAdmitPool *admit = &request->pool->admit;
-  double *finish = finish_tag (board, request);
-  double weight = request->account->spec.weight > 0.0 ? request->account->spec.weight : 1.0;
-  double cost = 1.0 + request->length.predicted_tokens / TOKENS_PER_UNIT;
-  uint32_t before;
-
-  request->admit.virtual_start = admit->virtual_time[request->priority];
-  if (*finish > request->admit.virtual_start)
-    request->admit.virtual_start = *finish;
-  request->admit.virtual_finish = request->admit.virtual_start + cost / weight;
-  *finish = request->admit.virtual_finish;
+  double before;
+
   request->admit.queued_us = now_us;
-  before = insert_by_start (&admit->queues[request->priority], request);
+  tt_admit_flow_append (board, request, 1.0 + request->length.predicted_tokens / TOKENS_PER_UNIT);
+  before = tt_admit_flow_before (request->admit.flow);
   for (uint32_t p = 0; p < request->priority; p++)
-    before += admit->queues[p].count;
-  admit->queued++;
-  board->admit.queued++;
-  request->account->queued++;
+    before += admit->waiting[p];
   tt_request_set_stage (board, request, TT_STAGE_QUEUED);
   if (before * admit->service_us > (double) (request->deadline_us - now_us))
     shed (board, request, "the expected wait is longer than the deadline");
@@ -153,20 +109,8 @@
 void
 tt_admit_dequeue (TtBoard *board, TtRequest *request)
 {
-  TtAdmitPool *admit;
-  TtList *queue;
-
-  if (request->pool == NULL || !tt_link_is_linked (&request->admit.queue_link))
-    return;
-  admit = &request->pool->admit;
-  queue = &admit->queues[request->priority];
-  // The cost of the account's last request is given back if it is not served.
-  if (!request->admit.released && *finish_tag (board, request) <= request->admit.virtual_finish)
-    *finish_tag (board, request) = request->admit.virtual_start;
-  tt_list_remove (queue, &request->admit.queue_link);
-  admit->queued--;
-  board->admit.queued--;
-  request->account->queued--;
+  if (request->admit.flow != NULL)
+    tt_admit_flow_remove (board, request, false);
 }
 
 void
@@ -200,51 +144,104 @@
         const TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
 
         // `share` has already taken off the slots that requests wait for at a keeper.
-        if (request->place.wait_id != 0)
-          continue;
-        request->pool->admit.ready++;
+        if (request->place.wait_id == 0)
+          request->pool->admit.ready++;
         if (request->length.is_long)
           request->pool->admit.long_ready++;
       }
 }
 
+/// Free slots that released requests will take. Long ones beyond the slots for long work wait for
+/// another long job's end, and must not hold up short work meanwhile.
+static uint32_t
+taken_slots (const TtPool *pool)
+{
+  const TtAdmitPool *admit = &pool->admit;
+  uint32_t stuck = admit->long_ready > pool->share.free_long_slots
+                       ? admit->long_ready - pool->share.free_long_slots
+                       : 0;
+
+  return admit->ready > stuck ? admit->ready - stuck : 0;
+}
+
+/// Free slots that a long job leaves for short work, once long work has half of its share: a long
+/// job holds its slot for long, while the need for short work varies by the square root.
+static uint32_t
+short_reserve (const TtPool *pool)
+{
+  uint32_t long_used = pool->admit.long_ready;
+
+  TT_LIST_FOREACH (&pool->backends, it)
+    long_used += TT_CONTAINER_OF (it, TtBackendServer, pool_link)->share.long_used;
+  if (long_used < pool->share.free_long_slots)
+    return 0;
+  return (uint32_t) (RESERVE * sqrt ((double) pool->share.used));
+}
+
 /// True if the request may be released beside those already released.
 static bool
-may_release (const TtRequest *request, uint32_t long_slots)
+may_release (const TtRequest *request)
 {
-  if (request->length.is_long && request->pool->admit.long_ready >= long_slots)
+  const TtPool *pool = request->pool;
+
+  if (request->length.is_long
+      && (pool->admit.long_ready >= pool->share.free_long_slots
+          || taken_slots (pool) + short_reserve (pool) >= pool->share.free_slots))
     return false;
   return request->account->in_flight < tt_admit_room (request->account);
 }
 
-/// The request that has waited past half of its time and must start soonest; NULL if none.
+/// The oldest request of a flow that may be released; NULL if there is none near its front.
 static TtRequest *
-aged_request (TtAdmitPool *admit, uint32_t long_slots, int64_t now_us)
+first_of (const TtAdmitFlow *flow)
+{
+  int depth = 0;
+
+  // Behind the first there are others to release only while predictions change in the queue.
+  TT_LIST_FOREACH (&flow->requests, it)
+    {
+      if (may_release (request_of (it)))
+        return request_of (it);
+      if (++depth == FLOW_DEPTH)
+        break;
+    }
+  return NULL;
+}
+
+/// The request below the most urgent class in waiting that has waited past half of its time and
+/// must start soonest; NULL if none. Inside a class the order of the flows holds, so that an
+/// account with a long backlog gains nothing by its age.
+static TtRequest *
+aged_request (TtAdmitPool *admit, int64_t now_us)
 {
   TtRequest *oldest = NULL;
+  int p = 0;
 
-  for (int p = 0; p < TT_PRIORITY_COUNT; p++)
+  while (p < TT_PRIORITY_COUNT && admit->waiting[p] == 0)
+    p++;
+  for (p++; p < TT_PRIORITY_COUNT; p++)
     TT_LIST_FOREACH (&admit->queues[p], it)
       {
-        TtRequest *request = request_of (it);
-        int64_t waited_us = now_us - request->admit.queued_us;
+        TtRequest *request = first_of (TT_CONTAINER_OF (it, TtAdmitFlow, link));
 
-        if (2 * waited_us < request->deadline_us - request->admit.queued_us
-            || !may_release (request, long_slots))
+        if (request == NULL
+            || 2 * (now_us - request->admit.queued_us)
+                   < request->deadline_us - request->admit.queued_us)
           continue;
         if (oldest == NULL || request->deadline_us < oldest->deadline_us)
           oldest = request;
+        break;
       }
   return oldest;
 }
 
 /// The next request in order of priority and start tag; NULL if none may be released.
 static TtRequest *
-next_request (TtAdmitPool *admit, uint32_t long_slots, int64_t now_us)
+next_request (TtAdmitPool *admit, int64_t now_us)
 {
   if (admit->releases >= AGED_PERIOD)
     {
-      TtRequest *aged = aged_request (admit, long_slots, now_us);
+      TtRequest *aged = aged_request (admit, now_us);
 
       admit->releases = 0;
       if (aged != NULL)
@@ -252,8 +249,12 @@
     }
   for (int p = 0; p < TT_PRIORITY_COUNT; p++)
     TT_LIST_FOREACH (&admit->queues[p], it)
-      if (may_release (request_of (it), long_slots))
-        return request_of (it);
+      {
+        TtRequest *request = first_of (TT_CONTAINER_OF (it, TtAdmitFlow, link));
+
+        if (request != NULL)
+          return request;
+      }
   return NULL;
 }
 
@@ -263,9 +264,7 @@
   TtAdmitPool *admit = &request->pool->admit;
 
   request->admit.released = true;
-  tt_admit_dequeue (board, request);
-  if (request->admit.virtual_start > admit->virtual_time[request->priority])
-    admit->virtual_time[request->priority] = request->admit.virtual_start;
+  tt_admit_flow_remove (board, request, true);
   request->account->in_flight++;
   admit->releases++;
   admit->ready++;
@@ -295,9 +294,9 @@
     {
       TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
 
-      while (pool->admit.queued > 0 && pool->admit.ready < pool->share.free_slots)
+      while (pool->admit.queued > 0 && taken_slots (pool) < pool->share.free_slots)
         {
-          TtRequest *request = next_request (&pool->admit, pool->share.free_long_slots, now_us);
+          TtRequest *request = next_request (&pool->admit, now_us);
 
           if (request == NULL)
             break;
--- a/src/tarragontrack/control/length.c
+++ b/src/tarragontrack/control/length.c
@@ -4,11 +4,13 @@
 #include "tarragontrack/control/controllers.h"
 #include <stdlib.h>
 
+#define CHECK_PERIOD_US TT_SECOND_US
 #define GAIN 0.1F // of one answer; about the last ten answers count
 
 enum
 {
-  TABLE_SIZE = 4096,   // 64 KB; accounts times kinds in use at the target are about 3,000
+  TABLE_SIZE = 8192,   // 192 KB; accounts times kinds in use at the target are about 3,000
+  WAYS = 4,            // entries of one set; two keys of a set must not replace each other in turn
   DEFAULT_TOKENS = 256 // without any sample
 };
 
@@ -38,6 +40,31 @@
                        request->pool->id);
 }
 
+/// The entry of a key; NULL if there is none.
+static TtLengthEntry *
+find_entry (const TtBoard *board, uint64_t key)
+{
+  TtLengthEntry *set = &board->length.entries[key % (board->length.entry_count / WAYS) * WAYS];
+
+  for (int i = 0; i < WAYS; i++)
+    if (set[i].key == key)
+      return &set[i];
+  return NULL;
+}
+
+/// The entry of the key's set that learned longest ago.
+static TtLengthEntry *
+oldest_entry (const TtBoard *board, uint64_t key)
+{
+  TtLengthEntry *set = &board->length.entries[key % (board->length.entry_count / WAYS) * WAYS];
+  TtLengthEntry *oldest = set;
+
+  for (int i = 1; i < WAYS; i++)
+    if (set[i].learned_us < oldest->learned_us)
+      oldest = &set[i];
+  return oldest;
+}
+
 /// Sets the prediction, capped by the caller's limit.
 static void
 set_prediction (TtRequest *request, double tokens)
@@ -54,11 +81,10 @@
 static void
 predict (const TtBoard *board, TtRequest *request)
 {
-  uint64_t key = key_of (request);
-  const TtLengthEntry *entry = &board->length.entries[key % board->length.entry_count];
+  const TtLengthEntry *entry = find_entry (board, key_of (request));
   double tokens = DEFAULT_TOKENS;
 
-  if (entry->key == key)
+  if (entry != NULL)
     tokens = (double) entry->mean_tokens + (double) entry->deviation_tokens;
   else if (request->pool->length.mean_tokens > 0.0)
     tokens = request->pool->length.mean_tokens;
@@ -67,25 +93,44 @@
 
 /// Learns from an answer of @tokens.
 static void
-learn (TtBoard *board, const TtRequest *request, float tokens)
+learn (TtBoard *board, const TtRequest *request, float tokens, int64_t now_us)
 {
   uint64_t key = key_of (request);
-  TtLengthEntry *entry = &board->length.entries[key % board->length.entry_count];
+  TtLengthEntry *entry = find_entry (board, key);
   double *pool_mean = &request->pool->length.mean_tokens;
   float distance;
 
   *pool_mean = *pool_mean <= 0.0 ? tokens : *pool_mean + (double) GAIN * (tokens - *pool_mean);
-  if (entry->key != key)
+  if (entry == NULL)
     {
-      *entry = (TtLengthEntry){ .key = key, .mean_tokens = tokens };
+      *oldest_entry (board, key)
+          = (TtLengthEntry){ .key = key, .mean_tokens = tokens, .learned_us = now_us };
       return;
     }
+  entry->learned_us = now_us;
   distance
       = tokens > entry->mean_tokens ? tokens - entry->mean_tokens : entry->mean_tokens - tokens;
   entry->deviation_tokens += GAIN * (distance - entry->deviation_tokens);
   entry->mean_tokens += GAIN * (tokens - entry->mean_tokens);
 }
 
+/// Predicts again for the waiting requests, which may have come before the first answer of their
+/// kind ended.
+static void
+repredict (TtBoard *board, int64_t now_us)
+{
+  if (now_us < board->length.next_check_us)
+    return;
+  board->length.next_check_us = now_us + CHECK_PERIOD_US;
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_QUEUED], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      if (request->pool->spec.type == TT_SERVICE_MODEL)
+        predict (board, request);
+    }
+}
+
 /// Corrects a prediction that the answer has passed.
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
@@ -94,7 +139,8 @@
   uint32_t tokens;
 
   (void) context;
-  (void) now_us;
+  if (event->type == TT_EVENT_TICK)
+    repredict (board, now_us);
   if (event->type != TT_EVENT_ATTEMPT_PROGRESS)
     return;
   attempt = tt_attempt_find (board, event->attempt.attempt_id);
@@ -123,14 +169,13 @@
 on_finished (void *context, TtBoard *board, TtRequest *request, int64_t now_us)
 {
   (void) context;
-  (void) now_us;
   if (request->pool == NULL || request->pool->spec.type != TT_SERVICE_MODEL
       || request->relayed_tokens == 0)
     return;
   // A cut answer is a lower bound: it teaches only when it was longer than predicted.
   if (request->outcome == TT_OUTCOME_COMPLETE
       || request->relayed_tokens > request->length.predicted_tokens)
-    learn (board, request, (float) request->relayed_tokens);
+    learn (board, request, (float) request->relayed_tokens, now_us);
 }
 
 TtController
