feat(bench): stragglers, and a smaller reserve for short work

Change: bench/straggler_bench; the reserve follows the short work only and is at most a quarter of the slots.

--- a/bench/admission_bench.c
+++ b/bench/admission_bench.c
@@ -9,7 +9,7 @@
 #define RAMP_US (2 * TT_SECOND_US)
 #define WINDOW_US (60 * TT_SECOND_US)
 #define TAIL_US (30 * TT_SECOND_US) // after the window, so that its requests end
-#define WINDOW_S 300 // of M3
+#define WINDOW_S 300                // of M3
 #define ENGINES 10
 #define SLOTS 32
 #define ACCOUNTS 10
@@ -44,7 +44,7 @@
   double offered[CLASSES][ACCOUNTS];
   double good[CLASSES][ACCOUNTS];
   double finished[CLASSES]; ///< ended inside the window
-  double busy_us; ///< slot time of good answers inside the window
+  double busy_us;           ///< slot time of good answers inside the window
   Series waits[CLASSES];
   Series totals[CLASSES];
 } Run;
--- /dev/null
+++ b/bench/straggler_bench.c
@@ -0,0 +1,185 @@
+// M4: a tenth of the engines runs ten times slower; which one changes every 40 s.
+#include "support/report.h"
+#include "support/sim.h"
+#include "tarragontrack/board/hash.h"
+#include <stdlib.h>
+
+#define WARM_US (60 * TT_SECOND_US)
+#define WINDOW_US (240 * TT_SECOND_US)
+#define PERIOD_US (40 * TT_SECOND_US) // of one straggler, as long as a noisy neighbour's job
+#define SLOWDOWN 10.0
+#define FIRST_LIMIT_S 2.0 // an answer with a later first token is not good
+
+typedef struct
+{
+  const char *name;
+  SimPolicy policy;
+  bool slow;
+  bool protect; ///< ejection and second attempts
+  Series first;
+  Series total;
+  uint64_t offered;
+  uint64_t good;
+  uint64_t attempts;
+  uint64_t hedges;
+  uint64_t retries;
+  uint64_t ejections;
+} Run;
+
+static void
+ended (void *context, Sim *sim, const SimRequest *request)
+{
+  Run *run = context;
+  double first_s = (double) (request->first_us - request->arrived_us) / 1e6;
+
+  (void) sim;
+  if (request->arrived_us < SIM_START_US + WARM_US)
+    return;
+  run->offered++;
+  if (request->outcome != TT_OUTCOME_COMPLETE)
+    return;
+  run->good += first_s <= FIRST_LIMIT_S;
+  series_add (&run->first, first_s);
+  series_add (&run->total, (double) (request->ended_us - request->arrived_us) / 1e6);
+}
+
+/// Takes away what `health` and `retry` decided, for the baseline.
+static void
+disarm (TtBoard *board)
+{
+  board->retry.tokens = 0.0;
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtHealthBackend *health = &TT_CONTAINER_OF (it, TtBackendServer, link)->health;
+
+      *health = (TtHealthBackend){ .factor = 1.0 };
+    }
+}
+
+static void
+sample (void *context, Sim *sim, int64_t now_us)
+{
+  Run *run = context;
+  int64_t since_us = now_us - SIM_START_US - WARM_US;
+
+  for (uint32_t i = 0; i < sim->config.engines; i++)
+    sim->engines[i].slow = 1.0;
+  for (uint32_t i = 0; run->slow && since_us >= 0 && i < sim->config.engines / 10; i++)
+    {
+      uint64_t draw = tt_hash_pair (sim->config.seed, (uint64_t) (since_us / PERIOD_US));
+
+      sim->engines[(draw + i) % sim->config.engines].slow = SLOWDOWN;
+    }
+  run->attempts = 0;
+  run->hedges = 0;
+  run->retries = 0;
+  run->ejections = 0;
+  for (uint32_t i = 0; sim->boards != NULL && i < sim->config.routers; i++)
+    {
+      const uint64_t *counters = sim->boards[i]->counters;
+
+      if (!run->protect)
+        disarm (sim->boards[i]);
+      run->attempts += counters[TT_COUNT_ATTEMPTS];
+      run->hedges += counters[TT_COUNT_HEDGES];
+      run->retries += counters[TT_COUNT_RETRIES];
+      run->ejections += counters[TT_COUNT_EJECTIONS];
+    }
+}
+
+static void
+simulate (Run *run, uint32_t engines, uint32_t domains, uint64_t seed)
+{
+  SimConfig config;
+  SimResult result;
+
+  sim_defaults (&config);
+  config.policy = run->policy;
+  config.seed = seed;
+  config.domains = domains;
+  config.engines = engines;
+  config.routers = 5;
+  config.rate = 5.0 * engines; // half of the capacity: 32 slots, 3.1 s an answer
+  config.answer_tokens = 100;
+  config.progress_tokens = 5;
+  config.warm_us = WARM_US;
+  config.duration_us = WINDOW_US;
+  config.context = run;
+  config.ended = ended;
+  config.sample = sample;
+  if (sim_run (&config, &result) < 0)
+    abort ();
+}
+
+static bool
+measure (FILE *page, const char *title, uint32_t engines, uint32_t domains, uint64_t seed)
+{
+  Run runs[] = {
+    { .name = "healthy fleet", .policy = SIM_ROUTER, .protect = true },
+    { .name = "a tenth slowed", .policy = SIM_ROUTER, .protect = true, .slow = true },
+    { .name = "a tenth slowed, no ejection and no second attempts",
+      .policy = SIM_ROUTER,
+      .slow = true },
+    { .name = "a tenth slowed, least in flight", .policy = SIM_LEAST_IN_FLIGHT, .slow = true }
+  };
+  double first[4];
+  double total[4];
+  double good[4];
+  bool pass = true;
+
+  (void) fprintf (page,
+                  "\n## M4, %s\n\n| run | p99 of the first token, s | p99 of the answer, s | "
+                  "goodput | ejections | hedges | retries | attempts |\n"
+                  "|---|---|---|---|---|---|---|---|\n",
+                  title);
+  printf ("M4, %s\n", title);
+  for (int i = 0; i < 4; i++)
+    {
+      simulate (&runs[i], engines, domains, seed);
+      first[i] = series_quantile (&runs[i].first, 0.99);
+      total[i] = series_quantile (&runs[i].total, 0.99);
+      good[i] = (double) runs[i].good / (double) runs[i].offered;
+      (void) fprintf (page, "| %s | %.3f | %.3f | %.4f | %llu | %llu | %llu | %llu |\n",
+                      runs[i].name, first[i], total[i], good[i],
+                      (unsigned long long) runs[i].ejections, (unsigned long long) runs[i].hedges,
+                      (unsigned long long) runs[i].retries, (unsigned long long) runs[i].attempts);
+      printf ("%-52s first %7.3f total %7.3f good %.4f ejections %llu hedges %llu retries %llu\n",
+              runs[i].name, first[i], total[i], good[i], (unsigned long long) runs[i].ejections,
+              (unsigned long long) runs[i].hedges, (unsigned long long) runs[i].retries);
+      series_clear (&runs[i].first);
+      series_clear (&runs[i].total);
+    }
+  (void) fprintf (page, "\n| measure | value | bound | verdict |\n|---|---|---|---|\n");
+  pass &= report_check (page, "p99 of the first token, ratio to the healthy fleet",
+                        first[1] / first[0], true, 2.0);
+  pass &= report_check (page, "p99 of the whole answer, ratio to the healthy fleet",
+                        total[1] / total[0], true, 2.0);
+  pass
+      &= report_check (page, "goodput, ratio to the healthy fleet", good[1] / good[0], false, 0.95);
+  pass &= report_check (page, "second attempts, part of the attempts",
+                        (double) (runs[1].hedges + runs[1].retries) / (double) runs[1].attempts,
+                        true, 0.1);
+  report_value (page, "baseline without ejection and second attempts: p99 first token, ratio",
+                first[2] / first[0]);
+  report_value (page, "baseline without ejection and second attempts: p99 answer, ratio",
+                total[2] / total[0]);
+  report_value (page, "baseline least in flight: p99 of the first token, ratio",
+                first[3] / first[0]);
+  report_value (page, "baseline least in flight: p99 of the whole answer, ratio",
+                total[3] / total[0]);
+  return pass;
+}
+
+int
+main (int argc, char **argv)
+{
+  uint64_t seed = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
+  FILE *page
+      = report_open ("docs/measurements/stragglers.md", "Stragglers: M4", "straggler_bench", seed);
+  bool pass = true;
+
+  pass &= measure (page, "10 engines in one failure domain", 10, 1, seed);
+  pass &= measure (page, "20 engines in one failure domain", 20, 1, seed);
+  (void) fclose (page);
+  return pass ? 0 : 1;
+}
--- a/src/tarragontrack/control/admit_queue.c
+++ b/src/tarragontrack/control/admit_queue.c
@@ -12,8 +12,9 @@
 
 enum
 {
-  FLOW_DEPTH = 64, // requests of one flow that are looked at
-  AGED_PERIOD = 16 // one release in this many goes to work that has waited past half its time
+  RESERVE_PART = 4, // the reserve is at most one in this many slots
+  FLOW_DEPTH = 64,  // requests of one flow that are looked at
+  AGED_PERIOD = 16  // one release in this many goes to work that has waited past half its time
 };
 
 /// Request of a flow's link.
@@ -169,13 +170,17 @@
 static uint32_t
 short_reserve (const TtPool *pool)
 {
-  uint32_t long_used = pool->admit.long_ready;
+  uint32_t long_used = 0;
+  uint32_t most = (pool->share.used + pool->share.free_slots) / RESERVE_PART;
+  uint32_t reserve;
 
   TT_LIST_FOREACH (&pool->backends, it)
     long_used += TT_CONTAINER_OF (it, TtBackendServer, pool_link)->share.long_used;
-  if (long_used < pool->share.free_long_slots)
+  if (long_used + pool->admit.long_ready < pool->share.free_long_slots
+      || long_used > pool->share.used)
     return 0;
-  return (uint32_t) (RESERVE * sqrt ((double) pool->share.used));
+  reserve = (uint32_t) (RESERVE * sqrt ((double) (pool->share.used - long_used)));
+  return reserve < most ? reserve : most;
 }
 
 /// True if the request may be released beside those already released.
