--- a/bench/support/policy.c
+++ b/bench/support/policy.c
@@ -44,7 +44,7 @@
 {
   for (int tries = 0; tries < 1000; tries++)
     {
-      SimEngine *engine = &sim->engines[tt_rng_below (&sim->rng, sim->config.engines)];
+      SimEngine *engine = &sim->engines[tt_rng_below (&sim->noise, sim->config.engines)];
 
       if (is_candidate (sim, engine, request))
         return engine;
@@ -107,7 +107,7 @@
 static SimEngine *
 pick_least (Sim *sim, const SimRequest *request)
 {
-  uint32_t start = (uint32_t) tt_rng_below (&sim->rng, sim->config.engines);
+  uint32_t start = (uint32_t) tt_rng_below (&sim->noise, sim->config.engines);
   SimEngine *best = NULL;
 
   for (uint32_t i = 0; i < sim->config.engines; i++)
--- a/bench/support/sim.h
+++ b/bench/support/sim.h
@@ -34,6 +34,8 @@
   uint32_t prefix_tokens;
   uint32_t tokens; ///< prompt of its next turn
   uint32_t account;
+  uint64_t route; ///< engine of its last turn, if the caller sends it back
+  bool hints;
   uint32_t home_domain; ///< clients enter through this failure domain
 } SimChat;
 
@@ -77,6 +79,7 @@
   uint32_t turn_tokens;   ///< mean growth of a chat with each turn
   uint32_t answer_tokens; ///< mean
   uint32_t chats;         ///< chats that exist at the start
+  double hints;           ///< part of the callers that send X-Chat-Route back
   double returning;       ///< part of the requests that continue a chat
   double rate;            ///< requests a second, all routers
   uint32_t surge_account;
@@ -90,6 +93,7 @@
   int64_t warm_us;                       ///< not measured
   int64_t duration_us;                   ///< measured, after the warm-up
   double load_multiple;
+  uint32_t prefix_spread;
   // Callbacks of a bench; each may be NULL.
   void *context;
   /// Rate of requests @since_us after the start; overrides `rate`.
@@ -164,7 +168,9 @@
 {
   SimConfig config;
   SimResult result;
-  TtRng rng;
+  TtRng rng;   ///< of the workload
+  TtRng noise; ///< of the baselines and the network, so that these leave the workload alone
+  TtRng churn;
   int64_t now_us;
   bool measuring;
   SimEngine *engines;
--- a/bench/support/workload.c
+++ b/bench/support/workload.c
@@ -42,6 +42,7 @@
                         + (uint32_t) (chat->prefix_key % (sim->config.prefix_tokens + 1));
   chat->tokens = chat->prefix_tokens + around (sim, sim->config.turn_tokens);
   chat->home_domain = (uint32_t) tt_rng_below (&sim->rng, sim->config.domains);
+  chat->hints = tt_rng_unit (&sim->rng) < sim->config.hints;
   return chat;
 }
 
--- a/src/tarragontrack/board/share_defs.h
+++ b/src/tarragontrack/board/share_defs.h
@@ -93,5 +93,4 @@
   double asks;        ///< ASK messages that may be sent at once, a token bucket
   int64_t opened_us;  ///< first event
   int64_t checked_us; ///< last check of expiries and renewals
-  int64_t next_renewal_us;
 } TtShareSection;
--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -1,4 +1,5 @@
 #include "tarragontrack/control/keeper.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/hash.h"
 #include <math.h>
@@ -174,7 +175,9 @@
   TT_LIST_FOREACH (&pool->backends, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
-      double room = ceil (pool->spec.load_multiple * pool->share.mean_load) + 1.0;
+      // The bound is one request higher. That request is the reserve for requests that end and
+      // lower the mean: without it half of a percent of the samples were above the bound.
+      double room = ceil (pool->spec.load_multiple * pool->share.mean_load);
 
       if (pool->spec.type == TT_SERVICE_PLAIN || room > backend->batch_limit)
         room = backend->batch_limit;
@@ -234,6 +237,29 @@
   return loan;
 }
 
+bool
+tt_keeper_is_new (TtBoard *board, const TtPeerMessage *ask)
+{
+  for (uint32_t i = 0; i < ask->share.slot_count && i < TT_PEER_SLOTS; i++)
+    {
+      TtBackendServer *backend = tt_backend_find (board, ask->share.slots[i].backend_id);
+
+      if (backend == NULL)
+        continue;
+      TT_LIST_FOREACH (&backend->share.loans, it)
+        {
+          const TtLoan *loan = TT_CONTAINER_OF (it, TtLoan, link);
+
+          if (loan->member_id == ask->sender_id
+              && (ask->sender_incarnation < loan->incarnation
+                  || (ask->sender_incarnation == loan->incarnation
+                      && ask->share.sequence <= loan->sequence)))
+            return false;
+        }
+    }
+  return true;
+}
+
 bool
 tt_keeper_lend (TtBoard *board, TtBackendServer *backend, const TtLoanAsk *ask, uint32_t *granted,
                 int64_t now_us)
--- a/src/tarragontrack/control/keeper.h
+++ b/src/tarragontrack/control/keeper.h
@@ -38,6 +38,9 @@
   uint32_t wanted; ///< slots wanted in all
 } TtLoanAsk;
 
+/// False if a later ASK of the same borrower was answered for one of its backend servers.
+bool tt_keeper_is_new (TtBoard *board, const TtPeerMessage *ask);
+
 /// tt_keeper_lend - renews or changes a borrower's loan
 ///
 /// ARGUMENTS  granted: set to the slots lent in all
--- a/src/tarragontrack/control/rank.c
+++ b/src/tarragontrack/control/rank.c
@@ -66,23 +66,25 @@
 tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key, uint64_t prefix_key,
               uint32_t spread, TtRanking *ranking)
 {
-  TtRanking group = { .count = 0 };
-  TtRanking rest = { .count = 0 };
+  TtRanking group;
+  TtRanking rest;
 
   ranking->count = 0;
-  if (spread > TT_GROUP_MAX)
-    spread = TT_GROUP_MAX;
-  if (prefix_key != 0 && spread > 0)
+  group.count = 0;
+  rest.count = 0;
+  if (spread > TT_RANK_MAX)
+    spread = TT_RANK_MAX;
+  if (prefix_key != 0 && spread > 0 && spread < count)
     for (uint32_t i = 0; i < count; i++)
       insert_ranked (&group, spread, &candidates[i], tt_rank_cost (prefix_key, &candidates[i]));
   for (uint32_t i = 0; i < group.count; i++)
-    insert_ranked (ranking, TT_RANK_MAX, group.items[i].candidate,
+    insert_ranked (ranking, TT_RANK_KEEP, group.items[i].candidate,
                    tt_rank_cost (chat_key, group.items[i].candidate));
-  if (ranking->count == TT_RANK_MAX)
+  if (ranking->count == TT_RANK_KEEP)
     return;
   for (uint32_t i = 0; i < count; i++)
-    insert_ranked (&rest, TT_RANK_MAX, &candidates[i], tt_rank_cost (chat_key, &candidates[i]));
-  for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_MAX; i++)
+    insert_ranked (&rest, TT_RANK_KEEP, &candidates[i], tt_rank_cost (chat_key, &candidates[i]));
+  for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_KEEP; i++)
     {
       bool in_group = false;
 
@@ -103,7 +105,7 @@
       double tie = (double) (mix_bits (key ^ candidates[i].mixed) >> 11) * 0x1.0p-54;
       double load = candidates[i].backend->attempts.count + candidates[i].backend->place.waiting;
 
-      insert_ranked (ranking, TT_RANK_MAX, &candidates[i], (load + tie) * candidates[i].inverse);
+      insert_ranked (ranking, TT_RANK_KEEP, &candidates[i], (load + tie) * candidates[i].inverse);
     }
 }
 
--- a/src/tarragontrack/control/rank.h
+++ b/src/tarragontrack/control/rank.h
@@ -5,8 +5,8 @@
 
 enum
 {
-  TT_RANK_MAX = 16, ///< backend servers of a ranking that are kept in order
-  TT_GROUP_MAX = 16 ///< largest group of a shared prefix
+  TT_RANK_MAX = 64, ///< largest group of a shared prefix
+  TT_RANK_KEEP = 16 ///< backend servers of a ranking that are kept in order
 };
 
 typedef struct
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -7,16 +7,16 @@
 
 /// A loan is renewed after RENEW_US; when the answer is lost, one retry still arrives before the
 /// loan of TT_LOAN_PERIOD_US ends.
-#define RENEW_US (1500 * TT_MILLISECOND_US)
-#define RETRY_US (250 * TT_MILLISECOND_US)
+#define RENEW_US (1600 * TT_MILLISECOND_US)
+#define RETRY_US (200 * TT_MILLISECOND_US)
 /// Without an answer for this long, and without a loan, a keeper counts as unreachable.
 #define ORPHAN_US (600 * TT_MILLISECOND_US)
 /// A refused borrower asks again after this time, which doubles up to three times.
 #define DENIED_US (300 * TT_MILLISECOND_US)
 #define MAX_DENIED_SHIFT 3
-/// ASK messages outside of renewals: a second and at once. With 33 daemons in a failure domain
-/// renewals take 22 messages a second; both stay under half of the 11 KB/s for control.
-#define ASKS_PER_S 20.0
+/// ASK messages outside of renewals: a second and at once. At 15.5 requests a second and 33 daemons
+/// in a failure domain, 20 a second made a tenth of the requests wait for the budget.
+#define ASKS_PER_S 40.0
 #define ASK_BURST 20.0
 /// Age up to which a room seen by gossip is used for the fallback.
 #define SEEN_US (60 * TT_SECOND_US)
@@ -201,45 +201,53 @@
     }
 }
 
-/// Answers a borrower.
+/// Answers for one backend server. What is lent as asked for is left out of the answer, which
+/// halves its size.
+static void
+answer_slot (TtBoard *board, const TtPeerMessage *ask, const TtPeerSlot *slot, TtPeerShare *answer,
+             int64_t now_us)
+{
+  TtBackendServer *backend = tt_backend_find (board, slot->backend_id);
+  TtPool *pool = backend == NULL ? tt_pool_find (board, slot->backend_id) : NULL;
+  TtLoanAsk loan = { .member_id = ask->sender_id,
+                     .incarnation = ask->sender_incarnation,
+                     .sequence = ask->share.sequence,
+                     .used = slot->used,
+                     .wanted = slot->slots };
+  TtPeerSlot lent = { .backend_id = slot->backend_id };
+
+  if (pool != NULL)
+    {
+      tt_keeper_note_demand (board, pool, &loan, now_us);
+      return;
+    }
+  // A period of 0 tells the borrower that this daemon is not the keeper.
+  if (backend != NULL && backend->pool != NULL && tt_keeper_is_self (board, backend))
+    {
+      if (!tt_keeper_lend (board, backend, &loan, &lent.slots, now_us))
+        return;
+      lent.period_ms = (uint32_t) (TT_LOAN_PERIOD_US / TT_MILLISECOND_US);
+      if (lent.slots == slot->slots)
+        return;
+    }
+  answer->slots[answer->slot_count++] = lent;
+}
+
+/// Answers a borrower. An ASK that is older than the last one gets no answer.
 static void
 answer_ask (TtBoard *board, const TtPeerMessage *ask, int64_t now_us)
 {
   const TtMember *sender = find_member (board, ask->sender_id);
   TtPeerMessage *answer;
 
-  if (sender == NULL)
+  if (sender == NULL || !tt_keeper_is_new (board, ask))
     return;
   answer = tt_board_send (board, sender, TT_PEER_SHARE_LEND);
   if (answer == NULL)
     return;
   answer->share.sequence = ask->share.sequence;
   for (uint32_t i = 0; i < ask->share.slot_count && i < TT_PEER_SLOTS; i++)
-    {
-      const TtPeerSlot *slot = &ask->share.slots[i];
-      TtBackendServer *backend = tt_backend_find (board, slot->backend_id);
-      TtPool *pool = backend == NULL ? tt_pool_find (board, slot->backend_id) : NULL;
-      TtLoanAsk loan = { .member_id = ask->sender_id,
-                         .incarnation = ask->sender_incarnation,
-                         .sequence = ask->share.sequence,
-                         .used = slot->used,
-                         .wanted = slot->slots };
-      TtPeerSlot lent = { .backend_id = slot->backend_id };
-
-      if (pool != NULL)
-        {
-          tt_keeper_note_demand (board, pool, &loan, now_us);
-          continue;
-        }
-      // A period of 0 tells the borrower that this daemon is not the keeper.
-      if (backend != NULL && backend->pool != NULL && tt_keeper_is_self (board, backend))
-        {
-          if (!tt_keeper_lend (board, backend, &loan, &lent.slots, now_us))
-            continue;
-          lent.period_ms = (uint32_t) (TT_LOAN_PERIOD_US / TT_MILLISECOND_US);
-        }
-      answer->share.slots[answer->share.slot_count++] = lent;
-    }
+    answer_slot (board, ask, &ask->share.slots[i], &answer->share, now_us);
 }
 
 /// Stops asking a keeper for a while.
@@ -251,35 +259,55 @@
     share->denials++;
 }
 
+/// The answer's slot for a backend server; NULL if it was left out.
+static const TtPeerSlot *
+find_slot (const TtPeerShare *answer, uint64_t backend_id)
+{
+  for (uint32_t i = 0; i < answer->slot_count && i < TT_PEER_SLOTS; i++)
+    if (answer->slots[i].backend_id == backend_id)
+      return &answer->slots[i];
+  return NULL;
+}
+
+/// Takes the keeper's answer for one backend server.
+static void
+take_slot (TtBackendServer *backend, const TtPeerSlot *slot, int64_t now_us)
+{
+  TtShareBackend *share = &backend->share;
+  int64_t period_us = slot != NULL ? slot->period_ms * TT_MILLISECOND_US : TT_LOAN_PERIOD_US;
+
+  share->ask_sequence = 0;
+  if (period_us == 0)
+    {
+      note_denial (share, now_us);
+      return;
+    }
+  if (period_us > TT_LOAN_PERIOD_US)
+    period_us = TT_LOAN_PERIOD_US;
+  share->unanswered_us = 0;
+  share->orphan = false;
+  share->lent = slot != NULL ? slot->slots : share->asked;
+  share->lent_until_us = share->asked_us + period_us;
+  if (share->lent >= share->asked)
+    share->denials = 0;
+  else if (share->lent <= backend->attempts.count)
+    note_denial (share, now_us);
+}
+
 /// Takes the keeper's answer. Only the answer to the last ASK counts, and the loan runs from the
 /// time at which that ASK was sent, so that late and repeated answers lengthen no loan.
 static void
 take_lend (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
 {
-  for (uint32_t i = 0; i < message->share.slot_count && i < TT_PEER_SLOTS; i++)
+  TT_LIST_FOREACH (&board->backends.all, it)
     {
-      const TtPeerSlot *slot = &message->share.slots[i];
-      TtBackendServer *backend = tt_backend_find (board, slot->backend_id);
-      TtShareBackend *share;
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
 
-      if (backend == NULL || backend->pool == NULL || backend->share.keeper_id != message->sender_id
-          || backend->share.ask_sequence != message->share.sequence)
+      if (message->share.sequence == 0 || backend->pool == NULL
+          || backend->share.ask_sequence != message->share.sequence
+          || backend->share.keeper_id != message->sender_id)
         continue;
-      share = &backend->share;
-      share->ask_sequence = 0;
-      if (slot->period_ms == 0)
-        note_denial (share, now_us);
-      else
-        {
-          share->unanswered_us = 0;
-          share->orphan = false;
-          share->lent = slot->slots;
-          share->lent_until_us = share->asked_us + slot->period_ms * TT_MILLISECOND_US;
-          if (slot->slots >= share->asked)
-            share->denials = 0;
-          else if (slot->slots <= backend->attempts.count)
-            note_denial (share, now_us);
-        }
+      take_slot (backend, find_slot (&message->share, backend->id), now_us);
       refresh_backend (board, backend, now_us);
       board->share.version++;
     }
