fix(share): slots follow demand when all are in use

Cause: with every slot lent, a router kept the slots that it once got; a router with fewer let accounts with normal demand wait past their deadline. Change: the keeper takes back one slot per renewal from a borrower above its part of the demand; long jobs leave three standard deviations for short work.

--- a/src/tarragontrack/control/admit_queue.c
+++ b/src/tarragontrack/control/admit_queue.c
@@ -5,7 +5,7 @@
 #include <math.h>
 
 #define TOKENS_PER_UNIT 100.0 // cost of a request in fair queueing: one, and one per 100 tokens
-#define RESERVE 2.0           // standard deviations of the number of short requests
+#define RESERVE 3.0           // standard deviations of the number of short requests
 #define SERVICE_GAIN 0.05     // of one interval between two releases
 #define RETRY_AFTER_MIN_MS 1000
 #define RETRY_AFTER_MAX_MS 30000
--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -260,6 +260,28 @@
   return true;
 }
 
+/// Slots of the backend server in proportion to the borrower's part of the demand, rounded up.
+static uint32_t
+demand_part (const TtBoard *board, const TtBackendServer *backend, uint64_t member_id,
+             int64_t now_us)
+{
+  const TtPool *pool = backend->pool;
+  double own = member_id == board->member.self->entry.id ? pool->share.demand : 0.0;
+  double all = pool->share.demand;
+
+  TT_LIST_FOREACH (&pool->share.demands, it)
+    {
+      const TtShareDemand *demand = TT_CONTAINER_OF (it, TtShareDemand, link);
+
+      if (demand->expires_us <= now_us)
+        continue;
+      all += demand->requests;
+      if (demand->member_id == member_id)
+        own = demand->requests;
+    }
+  return own > 0.0 ? (uint32_t) ceil (backend->share.room * own / all) : backend->share.room;
+}
+
 bool
 tt_keeper_lend (TtBoard *board, TtBackendServer *backend, const TtLoanAsk *ask, uint32_t *granted,
                 int64_t now_us)
@@ -289,6 +311,11 @@
   loan->slots = ask->used + extra;
   loan->expires_us = now_us + TT_LOAN_PERIOD_US;
   *granted = loan->slots;
+  // With all slots in use a borrower would keep what it once got. The slot is still counted as lent
+  // until the borrower reports that the request in it has ended.
+  if (others + ask->used >= backend->share.room
+      && ask->used > demand_part (board, backend, ask->member_id, now_us) + 1)
+    *granted = ask->used - 1;
   return true;
 }
 
