fix(health): engines on trial are judged and hedged sooner

Cause: in a failure domain of three engines each return of a straggler, and each slow start, cost the p99 of the first token more than its bound.

--- a/src/tarragontrack/control/health.c
+++ b/src/tarragontrack/control/health.c
@@ -24,6 +24,7 @@
 
 enum
 {
+  TRIAL_SAMPLES = 2,       // enough to eject again an engine that has just returned
   MIN_SAMPLES = 4,         // fewer say nothing about a backend server
   EJECT_CHECKS = 2,        // checks in a row before an ejection
   EJECT_FAILURES = 2,      // failures in a row; a single one may be a stale connection
@@ -272,7 +273,8 @@
   pool->health.median_per_token_us = median_of (token, token_count);
 }
 
-/// Second longest wait for a first token among the open attempts; 0 if fewer wait.
+/// Second longest wait for a first token among the open attempts, and the longest on an engine that
+/// has just returned; 0 if fewer wait.
 static double
 overdue_us (const TtBackendServer *backend, int64_t now_us)
 {
@@ -296,6 +298,8 @@
       else if (elapsed_us > second)
         second = elapsed_us;
     }
+  if (backend->health.slow_start_us != 0)
+    return longest;
   return waiting >= OVERDUE_MIN ? second : 0.0;
 }
 
@@ -348,7 +352,8 @@
   if (health->ejections > 0 && now_us - health->ejected_until_us > FORGIVE_US)
     health->ejections = 0;
   if ((first < EJECT_FIRST_RATIO && token < EJECT_TOKEN_RATIO)
-      || (health->samples < MIN_SAMPLES && overdue <= 0.0))
+      || (health->samples < (health->slow_start_us != 0 ? TRIAL_SAMPLES : MIN_SAMPLES)
+          && overdue <= 0.0))
     health->slow_checks = 0;
   else if (++health->slow_checks >= EJECT_CHECKS)
     eject_backend (board, backend, FIRST_EJECTION_US, "slow", now_us);
--- a/src/tarragontrack/control/retry_second.c
+++ b/src/tarragontrack/control/retry_second.c
@@ -122,15 +122,17 @@
 
 /// Time to wait for the first token before a hedge; 0 while it is not known.
 static double
-hedge_delay_us (const TtRequest *request)
+hedge_delay_us (const TtAttempt *attempt)
 {
+  const TtRequest *request = attempt->request;
   const TtHealthPool *health = &request->pool->health;
   double delay = health->p95_first_token_us;
   double median = health->median_first_token_us;
 
   if (median <= 0.0)
     return 0.0;
-  if (delay < HEDGE_DELAY_MIN * median)
+  // An engine that has just returned from an ejection is likely to be slow still.
+  if (delay < HEDGE_DELAY_MIN * median || attempt->backend->health.slow_start_us != 0)
     delay = HEDGE_DELAY_MIN * median;
   if (delay > HEDGE_DELAY_MAX * median)
     delay = HEDGE_DELAY_MAX * median;
@@ -171,7 +173,7 @@
 hedge_attempt (TtBoard *board, TtAttempt *attempt, int64_t now_us)
 {
   TtRequest *request = attempt->request;
-  double delay = hedge_delay_us (request);
+  double delay = hedge_delay_us (attempt);
   TtBackendServer *backend;
 
   if (!request->idempotent || request->poison.suspect || request->retry.hedges > 0
