--- a/src/tarragontrack/board/place_defs.h
+++ b/src/tarragontrack/board/place_defs.h
@@ -56,7 +56,8 @@
   uint32_t first; ///< index in TtPlaceSection.candidates
   uint32_t local; ///< candidates of the own failure domain; they come first
   uint32_t count;
-  uint32_t waiting; ///< READY requests without a backend server
+  double least_inverse; ///< lowest TtCandidate.inverse of the pool
+  uint32_t waiting;     ///< READY requests without a backend server
 } TtPlacePool;
 
 typedef struct
--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -213,6 +213,10 @@
       bool idle = tt_slot_idle (backend, decision->now_us) > 0;
       double cost;
 
+      // Without a keeper in the other failure domain this daemon runs one request on each engine.
+      idle |= backend->share.orphan && backend->domain_id != decision->board->domain_id
+              && backend->attempts.count == 0;
+
       if ((!idle && !tt_slot_can_ask (backend, decision->now_us)) || !accepts (decision, backend))
         continue;
       cost = tt_rank_cost (decision->request->spec.chat_key, &candidates[i]);
@@ -305,8 +309,8 @@
     tt_rank_load (candidates, pool->place.local, request->spec.request_id, &decision.ranking);
   else
     {
-      tt_rank_chat (candidates, pool->place.local, key, request->spec.prefix_key,
-                    pool->spec.prefix_spread, &decision.ranking);
+      tt_rank_chat (candidates, pool->place.local, pool->place.least_inverse, key,
+                    request->spec.prefix_key, pool->spec.prefix_spread, &decision.ranking);
       find_preferred (&decision);
     }
   if (decision.ranking.count > 0)
--- a/src/tarragontrack/control/rank.c
+++ b/src/tarragontrack/control/rank.c
@@ -1,6 +1,5 @@
 #include "tarragontrack/control/rank.h"
 #include "tarragontrack/control/slot.h"
-#include <string.h>
 
 /// Smallest factor of a weight; a slower backend server is ejected, not weighted.
 #define MIN_FACTOR 0.01
@@ -62,28 +61,57 @@
   ranking->items[at] = (TtRanked){ .candidate = candidate, .cost = cost };
 }
 
+/// Least hash with which a candidate can cost less than @cost: 1 - u is below -ln (u), and no
+/// candidate's inverse weight is below @least_inverse. Spares the logarithm for all but about
+/// limit * ln (count) candidates.
+static uint64_t
+least_bits (double cost, double least_inverse)
+{
+  double unit = 1.0 - cost / least_inverse;
+
+  return unit > 0.0 ? (uint64_t) (unit * 0x1.0p53) << 11 : 0;
+}
+
+/// Keeps the best @limit candidates for a key.
+static void
+rank_key (const TtCandidate *candidates, uint32_t count, double least_inverse, uint64_t key,
+          uint32_t limit, TtRanking *ranking)
+{
+  uint64_t floor_bits = 0;
+
+  ranking->count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t bits = mix_bits (key ^ candidates[i].mixed);
+
+      if (bits < floor_bits)
+        continue;
+      insert_ranked (ranking, limit, &candidates[i],
+                     draw_exponential (bits) * candidates[i].inverse);
+      if (ranking->count == limit)
+        floor_bits = least_bits (ranking->items[limit - 1].cost, least_inverse);
+    }
+}
+
 void
-tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key, uint64_t prefix_key,
-              uint32_t spread, TtRanking *ranking)
+tt_rank_chat (const TtCandidate *candidates, uint32_t count, double least_inverse,
+              uint64_t chat_key, uint64_t prefix_key, uint32_t spread, TtRanking *ranking)
 {
   TtRanking group;
   TtRanking rest;
 
   ranking->count = 0;
   group.count = 0;
-  rest.count = 0;
   if (spread > TT_RANK_MAX)
     spread = TT_RANK_MAX;
   if (prefix_key != 0 && spread > 0 && spread < count)
-    for (uint32_t i = 0; i < count; i++)
-      insert_ranked (&group, spread, &candidates[i], tt_rank_cost (prefix_key, &candidates[i]));
+    rank_key (candidates, count, least_inverse, prefix_key, spread, &group);
   for (uint32_t i = 0; i < group.count; i++)
     insert_ranked (ranking, TT_RANK_KEEP, group.items[i].candidate,
                    tt_rank_cost (chat_key, group.items[i].candidate));
   if (ranking->count == TT_RANK_KEEP)
     return;
-  for (uint32_t i = 0; i < count; i++)
-    insert_ranked (&rest, TT_RANK_KEEP, &candidates[i], tt_rank_cost (chat_key, &candidates[i]));
+  rank_key (candidates, count, least_inverse, chat_key, TT_RANK_KEEP, &rest);
   for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_KEEP; i++)
     {
       bool in_group = false;
@@ -116,6 +144,7 @@
   TtPlaceSection *section = &board->place;
 
   pool->place.first = section->candidate_count;
+  pool->place.least_inverse = 1.0 / MIN_FACTOR;
   for (int remote = 0; remote <= 1; remote++)
     {
       TT_LIST_FOREACH (&pool->backends, it)
@@ -131,6 +160,8 @@
                                .mixed = mix_bits (backend->id),
                                .inverse = 1.0 / (weight * factor),
                                .backend = backend };
+          if (1.0 / (weight * factor) < pool->place.least_inverse)
+            pool->place.least_inverse = 1.0 / (weight * factor);
         }
       if (remote == 0)
         pool->place.local = section->candidate_count - pool->place.first;
--- a/src/tarragontrack/control/rank.h
+++ b/src/tarragontrack/control/rank.h
@@ -6,7 +6,7 @@
 enum
 {
   TT_RANK_MAX = 64, ///< largest group of a shared prefix
-  TT_RANK_KEEP = 16 ///< backend servers of a ranking that are kept in order
+  TT_RANK_KEEP = 8  ///< backend servers of a ranking that are kept in order
 };
 
 typedef struct
@@ -32,9 +32,10 @@
 
 /// tt_rank_chat - ranks candidates for a chat in two steps
 ///
-/// ARGUMENTS  prefix_key: selects a group of @spread that ranks before all others; 0 = none
-void tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key,
-                   uint64_t prefix_key, uint32_t spread, TtRanking *ranking);
+/// ARGUMENTS  least_inverse: lowest TtCandidate.inverse; prefix_key: selects a group of @spread
+/// that ranks before all others; 0 = none
+void tt_rank_chat (const TtCandidate *candidates, uint32_t count, double least_inverse,
+                   uint64_t chat_key, uint64_t prefix_key, uint32_t spread, TtRanking *ranking);
 
 /// Ranks candidates by open attempts of this daemon per weight; ties by @key.
 void tt_rank_load (const TtCandidate *candidates, uint32_t count, uint64_t key, TtRanking *ranking);
--- /dev/null
+++ b/test/control/place_test.c
@@ -0,0 +1,324 @@
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
+#include "tarragontrack/control/moved.h"
+#include <stdio.h>
+#include <string.h>
+
+#define START_US (100 * TT_SECOND_US)
+#define ENGINES 8
+#define CHATS 200
+
+/// Marks that a test sets on arriving requests, in place of `length` and `poison`.
+typedef struct
+{
+  bool is_long;
+  bool suspect;
+} Marks;
+
+static void
+mark_request (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  const Marks *marks = context;
+
+  (void) now_us;
+  if (event->type != TT_EVENT_REQUEST)
+    return;
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_ARRIVED], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+
+      request->length.is_long = marks->is_long;
+      request->poison.suspect = marks->suspect;
+    }
+}
+
+static TtBoard *
+open_board (Marks *marks)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+  TtController marker = { .name = "marks", .context = marks, .on_event = mark_request };
+
+  if (marks != NULL)
+    CU_ASSERT_EQUAL (tt_board_add_controller (board, &marker), 0);
+  world_start (board, ENGINES, START_US);
+  return board;
+}
+
+static void
+tick (TtBoard *board, int64_t now_us)
+{
+  TtEvent event = { .type = TT_EVENT_TICK };
+
+  tt_board_step (board, &event, now_us);
+}
+
+static TtBackendServer *
+engine (TtBoard *board, uint32_t index)
+{
+  char name[TT_NAME_MAX];
+
+  (void) snprintf (name, sizeof name, "chat-%u", index);
+  return tt_backend_find (board, tt_hash_string (name));
+}
+
+/// Sends a request and gives the request back while it is on the board.
+static TtRequest *
+send (TtBoard *board, uint64_t chat, uint64_t prefix, uint64_t hint, int64_t now_us)
+{
+  TtRequestSpec spec = { .request_id = tt_board_next_id (board),
+                         .chat_key = chat,
+                         .prefix_key = prefix,
+                         .route_hint = hint,
+                         .prompt_tokens = 1000 };
+  TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
+
+  (void) snprintf (spec.account, sizeof spec.account, "small");
+  (void) snprintf (spec.service, sizeof spec.service, "chat");
+  tt_board_step (board, &event, now_us);
+  return tt_request_find (board, spec.request_id);
+}
+
+/// Backend server of the request's only attempt; NULL if it has none.
+static TtBackendServer *
+backend_of (const TtRequest *request)
+{
+  TtLink *link = tt_list_first (&request->attempts);
+
+  return link != NULL ? TT_CONTAINER_OF (link, TtAttempt, request_link)->backend : NULL;
+}
+
+/// Sends a request, completes it and gives the id of the backend server that ran it.
+static uint64_t
+serve (TtBoard *board, uint64_t chat, uint64_t prefix, int64_t now_us)
+{
+  TtRequest *request = send (board, chat, prefix, 0, now_us);
+  TtEvent done = { .type = TT_EVENT_ATTEMPT_DONE };
+  TtBackendServer *backend = backend_of (request);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
+  done.attempt.attempt_id
+      = TT_CONTAINER_OF (tt_list_first (&request->attempts), TtAttempt, request_link)->id;
+  done.attempt.status = 200;
+  tt_board_step (board, &done, now_us);
+  return backend->id;
+}
+
+/// Guards against a departure that moves chats of other engines, and against new work for a
+/// leaving engine.
+static void
+move_only_own_chats (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint64_t homes[CHATS];
+  uint64_t gone = engine (board, 3)->id;
+
+  for (uint64_t chat = 0; chat < CHATS; chat++)
+    homes[chat] = serve (board, chat + 1, 0, START_US);
+  engine (board, 3)->roster.state = TT_BACKEND_LEAVING;
+  for (uint64_t chat = 0; chat < CHATS; chat++)
+    {
+      uint64_t now = serve (board, chat + 1, 0, START_US + TT_MILLISECOND_US);
+
+      CU_ASSERT (now != gone);
+      CU_ASSERT (homes[chat] == gone || homes[chat] == now);
+    }
+  tt_board_free (board);
+}
+
+/// Guards against an ejected engine that still gets work and a slow one that gets its full part.
+static void
+respect_health (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint32_t counts[2] = { 0, 0 };
+
+  engine (board, 0)->health.ejected = true;
+  engine (board, 1)->health.factor = 0.25;
+  tick (board, START_US + TT_SECOND_US);
+  for (uint64_t chat = 1; chat <= 1000; chat++)
+    {
+      uint64_t id = serve (board, chat, 0, START_US + TT_SECOND_US);
+
+      CU_ASSERT (id != engine (board, 0)->id);
+      counts[0] += id == engine (board, 1)->id;
+      counts[1] += id == engine (board, 2)->id;
+    }
+  CU_ASSERT (counts[0] > 0);
+  CU_ASSERT (counts[0] * 2 < counts[1]);
+  tt_board_free (board);
+}
+
+/// Guards against chats of one prefix that spread over all engines.
+static void
+keep_prefix_together (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint64_t seen[ENGINES];
+  uint32_t count = 0;
+
+  for (uint64_t chat = 1; chat <= CHATS; chat++)
+    {
+      uint64_t id = serve (board, chat, 99, START_US);
+      uint32_t i = 0;
+
+      while (i < count && seen[i] != id)
+        i++;
+      if (i == count)
+        seen[count++] = id;
+    }
+  CU_ASSERT_EQUAL (count, 4);
+  tt_board_free (board);
+}
+
+/// Guards against a caller's hint that is ignored, or that leads to an engine which leaves.
+static void
+follow_hint (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint64_t home = serve (board, 5, 0, START_US);
+  TtBackendServer *other = engine (board, home == engine (board, 0)->id ? 1 : 0);
+  TtRequest *request = send (board, 5, 0, other->id, START_US);
+
+  CU_ASSERT_PTR_EQUAL (backend_of (request), other);
+  CU_ASSERT_EQUAL (request->place.reason, TT_PLACE_HINT);
+  CU_ASSERT_EQUAL (request->place.home_id, home);
+  other->roster.state = TT_BACKEND_LEAVING;
+  request = send (board, 5, 0, other->id, START_US + 1);
+  CU_ASSERT_EQUAL (backend_of (request)->id, home);
+  tt_board_free (board);
+}
+
+/// Guards against a moved chat that returns to a home without its cache, and against a table entry
+/// that outlives the eviction.
+static void
+remember_moved_chat (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint64_t home = serve (board, 5, 0, START_US);
+  TtBackendServer *other = engine (board, home == engine (board, 0)->id ? 1 : 0);
+  TtEvent event = { .type = TT_EVENT_CACHE };
+  TtRequest *request;
+
+  tt_moved_set (board, 5, other->id, START_US);
+  request = send (board, 5, 0, 0, START_US);
+  CU_ASSERT_PTR_EQUAL (backend_of (request), other);
+  CU_ASSERT_EQUAL (request->place.reason, TT_PLACE_MOVED);
+  event.cache = (TtCacheEvent){ .backend_id = other->id, .chat_key = 5 };
+  tt_board_step (board, &event, START_US);
+  request = send (board, 5, 0, 0, START_US);
+  CU_ASSERT_EQUAL (backend_of (request)->id, home);
+  CU_ASSERT_EQUAL (request->place.reason, TT_PLACE_HOME);
+  tt_board_free (board);
+}
+
+/// Guards against a KV move that costs more than it saves, and one that is left out.
+static void
+move_cache_if_cheaper (void)
+{
+  TtBoard *board = open_board (NULL);
+  uint64_t home = serve (board, 5, 0, START_US);
+  TtBackendServer *other = engine (board, home == engine (board, 0)->id ? 1 : 0);
+  TtAction action;
+
+  while (world_next (board, TT_ACTION_KV_MOVE, &action) != NULL)
+    CU_FAIL ("a move without a known source");
+  other->health.ejected = true;
+  (void) send (board, 5, 0, other->id, START_US);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world_next (board, TT_ACTION_KV_MOVE, &action));
+  CU_ASSERT_EQUAL (action.kv.from_backend_id, other->id);
+  CU_ASSERT_EQUAL (action.kv.to_backend_id, home);
+  tt_board_free (board);
+}
+
+/// Guards against long jobs that take all slots of an engine.
+static void
+cap_long_jobs (void)
+{
+  Marks marks = { .is_long = true };
+  TtBoard *board = open_board (&marks);
+
+  for (uint64_t chat = 1; chat <= 300; chat++)
+    (void) send (board, chat, 0, 0, START_US);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    CU_ASSERT (engine (board, i)->attempts.count <= 16);
+  CU_ASSERT_EQUAL (board->requests.stages[TT_STAGE_RUNNING].count, ENGINES * 16);
+  marks.is_long = false;
+  CU_ASSERT_PTR_NOT_NULL (backend_of (send (board, 1000, 0, 0, START_US)));
+  tt_board_free (board);
+}
+
+/// Guards against two suspects on one engine: a crash would not show which one caused it.
+static void
+isolate_suspects (void)
+{
+  Marks marks = { .suspect = true };
+  TtBoard *board = open_board (&marks);
+
+  for (uint64_t i = 0; i < ENGINES + 2; i++)
+    (void) send (board, 5, 0, 0, START_US);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    CU_ASSERT_EQUAL (engine (board, i)->attempts.count, 1);
+  CU_ASSERT_EQUAL (board->requests.stages[TT_STAGE_READY].count, 2);
+  tt_board_free (board);
+}
+
+/// Guards against a request without a slot that waits for ever or is dropped early.
+static void
+wait_until_deadline (void)
+{
+  TtBoard *board = open_board (NULL);
+  TtRequest *request;
+  TtAction action;
+  int64_t deadline_us;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    engine (board, i)->health.ejected = true;
+  tick (board, START_US + TT_SECOND_US);
+  request = send (board, 1, 0, 0, START_US + TT_SECOND_US);
+  CU_ASSERT_EQUAL (request->stage, TT_STAGE_READY);
+  deadline_us = request->deadline_us;
+  tick (board, deadline_us - 1);
+  CU_ASSERT_PTR_NULL (world_next (board, TT_ACTION_REPLY, &action));
+  tick (board, deadline_us + TT_TICK_US);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world_next (board, TT_ACTION_REPLY, &action));
+  CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_NOT_RUN);
+  tt_board_free (board);
+}
+
+/// Guards against a failure domain without engines that refuses what another one can serve.
+static void
+spill_to_other_domain (void)
+{
+  TtBoard *board = world_board ("router-1", "beta");
+  TtRequest *request;
+
+  world_start (board, ENGINES, START_US);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    engine (board, i)->domain_id = tt_hash_string ("alpha");
+  tick (board, START_US + TT_SECOND_US);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    engine (board, i)->share.keeper_id = 0;
+  tick (board, START_US + 2 * TT_SECOND_US);
+  request = send (board, 1, 0, 0, START_US + 2 * TT_SECOND_US);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (backend_of (request));
+  CU_ASSERT_EQUAL (request->place.reason, TT_PLACE_SPILL);
+  tt_board_free (board);
+}
+
+static const UnitTest tests[] = {
+  { "a departure moves only its own chats", move_only_own_chats },
+  { "ejected and slow engines get no or less work", respect_health },
+  { "chats of one prefix share a group", keep_prefix_together },
+  { "the caller's hint is followed while it is useful", follow_hint },
+  { "a moved chat is found again", remember_moved_chat },
+  { "the KV cache moves where that is cheaper", move_cache_if_cheaper },
+  { "long jobs leave slots for short ones", cap_long_jobs },
+  { "suspects do not share an engine", isolate_suspects },
+  { "a request without a slot ends at its deadline", wait_until_deadline },
+  { "another failure domain serves if the own one cannot", spill_to_other_domain },
+};
+
+UNIT_MAIN ("place", tests)
