--- /dev/null
+++ b/bench/route_bench.c
@@ -0,0 +1,195 @@
+/// Routing of chats: prompt-cache reuse (M1), load bound (M5) and control traffic, against
+/// baselines and an oracle in the same run. Arguments: seed, deployment (0 to 2) and scenario (0 to
+/// 5); all of them if left out.
+#include "support/sim.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Bounds of docs/design.md, section 1.2.
+#define STEADY_REUSE 0.95
+#define CHURN_REUSE 0.90
+#define TRAFFIC_BYTES_S 11000.0
+/// Aim of `share` alone, since gossip uses the rest.
+#define SHARE_BYTES_S (TRAFFIC_BYTES_S / 3.0)
+
+typedef struct
+{
+  const char *name;
+  const char *title;
+  uint32_t domains, engines, routers;
+  double rate;
+  uint32_t chats;
+  uint32_t batch;
+  uint32_t accounts;
+  uint64_t cache_tokens;
+  uint32_t prefix_spread;
+  int64_t warm_s, duration_s, churn_duration_s;
+  uint32_t surge_account; ///< an account whose surge the fleet can just carry
+} Deployment;
+
+typedef struct
+{
+  const char *name;
+  bool baselines;  ///< compare with all policies, not with the oracle only
+  bool reuse;      ///< check M1
+  double skew;     ///< 0 = default
+  double churn;    ///< part of the engines that restarts in a minute
+  double loss;     ///< of messages between routers
+  double surge;    ///< factor; 0 = none
+  uint32_t spread; ///< overrides the deployment's prefix_spread; 0 = none
+  bool large_only;
+} Scenario;
+
+// The large deployment is one of its 11 failure domains: routers of different failure domains share
+// no engines while each can carry its load, so that the sample loses only the spill-over.
+static const Deployment deployments[]
+    = { { "raagmala", "Raagmala Sync Partners: 3 failure domains, 10 engines, 5 routers", 3, 10, 5,
+          10.0, 600, 32, 10, 600000, 4, 60, 600, 3600, 3 },
+        { "skurd", "Skurðlistasjóður Ríkisins: 4 failure domains, 12 engines, 5 routers", 4, 12, 5,
+          12.0, 600, 32, 10, 600000, 4, 60, 600, 3600, 3 },
+        { "target", "Target, one failure domain of 11: 80 engines, 33 routers", 1, 80, 33, 510.0,
+          24480, 128, 100, 1200000, 0, 240, 60, 90, 20 } };
+
+static const Scenario scenarios[]
+    = { { "steady", true, true, 0, 0, 0, 0, 0, false },
+        { "skewed accounts", false, true, 1.5, 0, 0, 0, 0, false },
+        { "1 % churn a minute", false, true, 0, 0.01, 0, 0, 0, false },
+        { "5 % of messages lost", false, true, 0, 0, 0.05, 0, 0, false },
+        { "surge to 10 times by one account", false, false, 0, 0, 0, 10, 0, false },
+        { "steady, prefix_spread 4", false, true, 0, 0, 0, 0, 4, true } };
+
+static uint64_t seed = 1;
+
+static const char *
+verdict (bool pass)
+{
+  return pass ? "pass" : "FAIL";
+}
+
+/// Prints one measure with its bound.
+static void
+print_check (const char *measure, double measured, const char *relation, double bound,
+             const char *unit, bool pass)
+{
+  printf ("| %s | %.3f %s | %s %.3f %s | %s |\n", measure, measured, unit, relation, bound, unit,
+          verdict (pass));
+}
+
+static SimConfig
+make_config (const Deployment *deployment, const Scenario *scenario)
+{
+  SimConfig config;
+
+  sim_defaults (&config);
+  config.seed = seed;
+  config.domains = deployment->domains;
+  config.engines = deployment->engines;
+  config.routers = deployment->routers;
+  config.rate = deployment->rate;
+  config.chats = deployment->chats;
+  config.batch = deployment->batch;
+  config.accounts = deployment->accounts;
+  config.cache_tokens = deployment->cache_tokens;
+  config.prefix_spread = scenario->spread != 0 ? scenario->spread : deployment->prefix_spread;
+  config.warm_us = deployment->warm_s * TT_SECOND_US;
+  config.duration_us = (scenario->churn > 0 ? deployment->churn_duration_s : deployment->duration_s)
+                       * TT_SECOND_US;
+  config.churn = scenario->churn;
+  config.loss = scenario->loss;
+  if (scenario->skew > 0.0)
+    config.skew = scenario->skew;
+  if (scenario->surge > 0.0)
+    {
+      config.surge_factor = scenario->surge;
+      config.surge_account = deployment->surge_account;
+      config.surge_from_us = config.warm_us + 10 * TT_SECOND_US;
+      config.surge_until_us = config.surge_from_us + 60 * TT_SECOND_US;
+      config.duration_us = 120 * TT_SECOND_US;
+    }
+  return config;
+}
+
+static void
+print_row (SimPolicy policy, const SimResult *result)
+{
+  printf ("| %s | %.3f | %.1f | %.2f | %.1f | %llu | %.2f | %llu | %llu | %.0f | %.0f |\n",
+          sim_policy_name (policy), result->reuse, result->first_token_us / 1e3,
+          100.0 * (double) result->over_samples / (double) (result->samples + 1),
+          (double) result->over_longest_us / 1e6, (unsigned long long) result->over_placements,
+          result->worst_ratio, (unsigned long long) result->completed,
+          (unsigned long long) (result->not_run + result->failed), result->peer_bytes_s,
+          result->worst_peer_bytes_s);
+}
+
+/// Prints the checks of one scenario.
+static void
+print_checks (const Scenario *scenario, const SimConfig *config, const SimResult *router,
+              const SimResult *oracle)
+{
+  double bound = scenario->churn > 0.0 ? CHURN_REUSE : STEADY_REUSE;
+  double ratio = oracle->reuse > 0.0 ? router->reuse / oracle->reuse : 0.0;
+  double lag_s = (double) config->report_lag_us / 1e6;
+  double over_s = (double) router->over_longest_us / 1e6;
+
+  printf ("\n| measure | measured | bound | verdict |\n|---|---|---|---|\n");
+  if (scenario->reuse)
+    print_check ("M1 reuse, part of the oracle's", ratio, ">=", bound, "", ratio >= bound);
+  print_check ("M5 longest time above the load bound", over_s, "<=", lag_s, "s", over_s <= lag_s);
+  print_check ("M1 control traffic of the busiest router", router->worst_peer_bytes_s / 1e3,
+               "<=", TRAFFIC_BYTES_S / 1e3, "KB/s", router->worst_peer_bytes_s <= TRAFFIC_BYTES_S);
+  print_check ("aim: traffic of share, mean of the routers", router->peer_bytes_s / 1e3,
+               "<=", SHARE_BYTES_S / 1e3, "KB/s", router->peer_bytes_s <= SHARE_BYTES_S);
+}
+
+static int
+run_scenario (const Deployment *deployment, const Scenario *scenario)
+{
+  SimConfig config = make_config (deployment, scenario);
+  SimResult results[SIM_POLICY_COUNT];
+
+  memset (results, 0, sizeof results);
+  printf ("\n### %s\n\n", scenario->name);
+  printf ("| policy | reuse | first token (ms) | samples above bound (%%) | longest (s) |"
+          " placed above it | worst load / bound | completed | not run or failed | bytes/s | "
+          "busiest |\n"
+          "|---|---|---|---|---|---|---|---|---|---|---|\n");
+  for (int policy = 0; policy < SIM_POLICY_COUNT; policy++)
+    {
+      if (!scenario->baselines && policy != SIM_ROUTER && policy != SIM_ORACLE)
+        continue;
+      config.policy = (SimPolicy) policy;
+      if (sim_run (&config, &results[policy]) < 0)
+        return -1;
+      print_row (config.policy, &results[policy]);
+    }
+  print_checks (scenario, &config, &results[SIM_ROUTER], &results[SIM_ORACLE]);
+  (void) fflush (stdout);
+  return 0;
+}
+
+int
+main (int count, char **arguments)
+{
+  size_t from = 0;
+  size_t until = sizeof deployments / sizeof deployments[0];
+
+  if (count > 1)
+    seed = strtoull (arguments[1], NULL, 10);
+  if (count > 2)
+    {
+      from = strtoul (arguments[2], NULL, 10);
+      until = from + 1 < until ? from + 1 : until;
+    }
+  for (size_t d = from; d < until; d++)
+    {
+      if (count <= 3)
+        printf ("\n## %s\n", deployments[d].title);
+      for (size_t s = 0; s < sizeof scenarios / sizeof scenarios[0]; s++)
+        if ((count <= 3 || s == strtoul (arguments[3], NULL, 10))
+            && (!scenarios[s].large_only || deployments[d].routers > 5)
+            && run_scenario (&deployments[d], &scenarios[s]) < 0)
+          return 1;
+    }
+  return 0;
+}
--- a/bench/support/engine.c
+++ b/bench/support/engine.c
@@ -148,6 +148,8 @@
   request->engine = engine;
   engine->in_flight[request->router]++;
   tt_list_append (&engine->waiting, &request->link);
+  if (sim->measuring && sim_load (engine) > sim_load_bound (sim, engine->domain))
+    sim->result.over_placements++;
   fill_batch (sim, engine);
 }
 
--- a/bench/support/sim.h
+++ b/bench/support/sim.h
@@ -116,12 +116,13 @@
   uint64_t failed; ///< all other outcomes
   uint64_t prompt_tokens;
   uint64_t cached_tokens;
-  double reuse;            ///< cached_tokens / prompt_tokens
-  double first_token_us;   ///< mean
-  uint64_t samples;        ///< engine samples of the load
-  uint64_t over_samples;   ///< above ceil (multiple * mean) + 1
-  int64_t over_longest_us; ///< longest time one engine stayed above it
-  double worst_ratio;      ///< highest load / bound
+  double reuse;             ///< cached_tokens / prompt_tokens
+  double first_token_us;    ///< mean
+  uint64_t samples;         ///< engine samples of the load
+  uint64_t over_samples;    ///< above ceil (multiple * mean) + 1
+  int64_t over_longest_us;  ///< longest time one engine stayed above it
+  uint64_t over_placements; ///< requests sent to an engine that was at the bound
+  double worst_ratio;       ///< highest load / bound
   uint64_t peer_messages;
   uint64_t peer_bytes;
   double peer_bytes_s;       ///< for each router and second
--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -8,9 +8,9 @@
 #include "tarragontrack/control/slot.h"
 #include <stdlib.h>
 
-/// Longest wait for a keeper's answer before the next engine of the ranking is tried. The failure
-/// domain's round trip is below a millisecond; recomputing a prompt takes far longer than this.
-#define KEEPER_WAIT_US (20 * TT_MILLISECOND_US)
+/// Longest wait for a keeper's answer before the next engine of the ranking is tried: the time to
+/// compute 400 prompt tokens, and enough for two repetitions of a lost ASK.
+#define KEEPER_WAIT_US (40 * TT_MILLISECOND_US)
 /// A request with an idle slot elsewhere waits for at most this many keepers.
 #define MAX_WAITS 2
 /// Least time that a request waits for its own failure domain before it spills over.
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -9,6 +9,9 @@
 /// loan of TT_LOAN_PERIOD_US ends.
 #define RENEW_US (1600 * TT_MILLISECOND_US)
 #define RETRY_US (200 * TT_MILLISECOND_US)
+/// While a request waits, an ASK without an answer is repeated sooner: the round trip inside a
+/// failure domain is below a millisecond, so that the message was lost.
+#define WANTED_RETRY_US (8 * TT_MILLISECOND_US)
 /// Without an answer for this long, and without a loan, a keeper counts as unreachable.
 #define ORPHAN_US (600 * TT_MILLISECOND_US)
 /// A refused borrower asks again after this time, which doubles up to three times.
@@ -466,8 +469,9 @@
         continue;
       if (tt_keeper_is_self (board, backend))
         refresh_backend (board, backend, now_us);
-      else if (backend->share.ask_sequence == 0 && board->share.asks >= 1.0
-               && tt_slot_can_ask (backend, now_us))
+      else if ((backend->share.ask_sequence == 0
+                || now_us - backend->share.asked_us >= WANTED_RETRY_US)
+               && board->share.asks >= 1.0 && tt_slot_can_ask (backend, now_us))
         {
           board->share.asks -= 1.0;
           ask_keeper (board, backend->pool, backend->share.keeper_id, now_us);
