--- a/bench/route_bench.c
+++ b/bench/route_bench.c
@@ -118,7 +118,7 @@
           100.0 * (double) result->over_samples / (double) (result->samples + 1),
           (double) result->over_longest_us / 1e6, (unsigned long long) result->over_placements,
           result->worst_ratio, (unsigned long long) result->completed,
-          (unsigned long long) (result->not_run + result->failed), result->peer_bytes_s,
+          (unsigned long long) result->not_run + result->failed, result->peer_bytes_s,
           result->worst_peer_bytes_s);
 }
 
--- a/bench/support/router.c
+++ b/bench/support/router.c
@@ -321,7 +321,7 @@
 int
 sim_router_open (Sim *sim)
 {
-  sim->boards = calloc (sim->config.routers, sizeof *sim->boards);
+  sim->boards = calloc (sim->config.routers, sizeof (TtBoard *));
   sim->document = calloc (1, sizeof *sim->document);
   sim->hosts = calloc (sim->config.engines, sizeof *sim->hosts);
   if (sim->boards == NULL || sim->document == NULL || sim->hosts == NULL)
--- a/bench/support/sim.c
+++ b/bench/support/sim.c
@@ -305,11 +305,8 @@
 static void
 close_sim (Sim *sim)
 {
-  SimEvent event;
-
-  while (sim_pop (sim, &event))
-    if (event.type == SIM_EVENT_PEER)
-      free (event.data);
+  for (uint32_t i = 0; i < sim->heap_count; i++)
+    free (sim->heap[i].data);
   sim_router_close (sim);
   for (uint32_t i = 0; sim->engines != NULL && i < sim->config.engines; i++)
     sim_engine_close (&sim->engines[i]);
@@ -362,13 +359,12 @@
   if (code == 0)
     {
       start_events (sim);
-      while (sim_pop (sim, &event) && event.at_us < end_us)
+      while (sim->heap_count > 0 && sim->heap[0].at_us < end_us)
         {
+          (void) sim_pop (sim, &event);
           sim->now_us = event.at_us;
           handle_event (sim, &event);
         }
-      if (event.type == SIM_EVENT_PEER)
-        free (event.data);
       finish_result (sim);
       *result = sim->result;
     }
--- a/bench/support/workload.c
+++ b/bench/support/workload.c
@@ -52,7 +52,7 @@
   if (sim->idle_count == sim->idle_size)
     {
       uint32_t size = sim->idle_size * 2 + 64;
-      SimChat **grown = realloc (sim->idle, size * sizeof *grown);
+      SimChat **grown = realloc (sim->idle, size * sizeof (SimChat *));
 
       if (grown == NULL)
         abort ();
--- a/src/tarragontrack/board/peer_defs.h
+++ b/src/tarragontrack/board/peer_defs.h
@@ -74,12 +74,15 @@
   uint32_t domain_count;
 } TtPeerGossip;
 
+/// ASK: with a pool's id in backend_id, `used` is the number of the sender's requests that run on
+/// or wait for the pool. LEND: what is lent as asked, for the usual period, is left out.
 typedef struct
 {
   uint64_t backend_id;
   uint32_t used;      ///< ASK: slots in use; LEND: unused
   uint32_t slots;     ///< ASK: slots wanted in all; LEND: slots lent in all
-  uint32_t period_ms; ///< LEND: how long they are lent, from the arrival of the message
+  uint32_t period_ms; ///< LEND: how long they are lent, from the sending of the ASK; 0 = the sender
+                      ///< is not the keeper
 } TtPeerSlot;
 
 typedef struct
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -21,8 +21,6 @@
 /// in a failure domain, 20 a second made a tenth of the requests wait for the budget.
 #define ASKS_PER_S 40.0
 #define ASK_BURST 20.0
-/// Age up to which a room seen by gossip is used for the fallback.
-#define SEEN_US (60 * TT_SECOND_US)
 
 enum
 {
@@ -316,21 +314,6 @@
     }
 }
 
-/// Slots of a daemon whose keeper cannot be reached: its part of the last known room.
-static uint32_t
-count_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
-{
-  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
-  double mean = backend->pool->share.mean_load * members;
-  double room = ceil (backend->pool->spec.load_multiple * mean) + 1.0;
-
-  if (backend->share.seen_us != 0 && now_us - backend->share.seen_us < SEEN_US)
-    room = backend->share.seen_room;
-  if (room > backend->batch_limit || backend->pool->spec.type == TT_SERVICE_PLAIN)
-    room = backend->batch_limit;
-  return (uint32_t) room / members;
-}
-
 /// Ends the loan of a backend server whose time is over, or replaces it by the fallback.
 static void
 check_loan (TtBoard *board, TtBackendServer *backend, int64_t now_us)
@@ -343,7 +326,7 @@
   else if (share->orphan || (now_us >= share->lent_until_us && (silent || share->keeper_id == 0)))
     {
       share->orphan = true;
-      share->lent = count_fallback (board, backend, now_us);
+      share->lent = tt_slot_fallback (board, backend, now_us);
       share->lent_until_us = now_us + 2 * TT_TICK_US;
     }
   else if (now_us >= share->lent_until_us)
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -1,5 +1,9 @@
 #include "tarragontrack/control/slot.h"
 #include "tarragontrack/board/hash.h"
+#include <math.h>
+
+/// Age up to which a room seen by gossip is used for the fallback.
+#define SEEN_US (60 * TT_SECOND_US)
 
 bool
 tt_slot_usable (const TtBackendServer *backend)
@@ -36,3 +40,17 @@
 
   return (double) (draw >> 11) * 0x1.0p-53 < share - cap ? cap + 1 : cap;
 }
+
+uint32_t
+tt_slot_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+{
+  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
+  double mean = backend->pool->share.mean_load * members;
+  double room = ceil (backend->pool->spec.load_multiple * mean) + 1.0;
+
+  if (backend->share.seen_us != 0 && now_us - backend->share.seen_us < SEEN_US)
+    room = backend->share.seen_room;
+  if (room > backend->batch_limit || backend->pool->spec.type == TT_SERVICE_PLAIN)
+    room = backend->batch_limit;
+  return (uint32_t) room / members;
+}
--- a/src/tarragontrack/control/slot.h
+++ b/src/tarragontrack/control/slot.h
@@ -17,3 +17,6 @@
 /// NOTES      this daemon's part of long_share * batch_limit. A fraction of a slot is rounded up
 ///            on some daemons and down on the others, so that the sum stays near the cap.
 uint32_t tt_slot_long_cap (const TtBoard *board, const TtBackendServer *backend);
+
+/// Slots of a daemon whose keeper cannot be reached: its part of the last known room.
+uint32_t tt_slot_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us);
--- a/test/control/place_test.c
+++ b/test/control/place_test.c
@@ -99,6 +99,8 @@
   TtBackendServer *backend = backend_of (request);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
+  if (backend == NULL)
+    return 0;
   done.attempt.attempt_id
       = TT_CONTAINER_OF (tt_list_first (&request->attempts), TtAttempt, request_link)->id;
   done.attempt.status = 200;
