--- a/test/control/share_test.c
+++ b/test/control/share_test.c
@@ -173,6 +173,32 @@
   share_world_close (&world);
 }
 
+/// Guards against a LEND that was delayed and lets the loan outlast the keeper's record of it.
+static void
+count_loan_from_ask (void)
+{
+  ShareWorld world;
+  TtPeerMessage lend = { .type = TT_PEER_SHARE_LEND };
+  TtEvent event = { .type = TT_EVENT_PEER, .peer = &lend };
+  uint32_t engine;
+  const TtShareBackend *share;
+
+  share_world_open (&world, 2, ENGINES);
+  share_world_run (&world, SETTLE_MS);
+  engine = borrow (&world, 0);
+  share = &share_world_engine (&world, 0, engine)->share;
+  world.cut[1] = true;
+  while (share->ask_sequence == 0)
+    share_world_run (&world, 50);
+  lend.sender_id = share->keeper_id;
+  lend.share.sequence = share->ask_sequence;
+  world.now_us += 150 * TT_MILLISECOND_US;
+  tt_board_step (world.boards[0], &event, world.now_us);
+  CU_ASSERT_EQUAL (share->ask_sequence, 0);
+  CU_ASSERT_EQUAL (share->lent_until_us, share->asked_us + 2 * TT_SECOND_US);
+  share_world_close (&world);
+}
+
 /// Guards against a daemon that lends slots of an engine which, by its own list, another one keeps.
 static void
 refuse_when_lists_differ (void)
@@ -279,6 +305,7 @@
   { "a dead keeper leaves its borrowers a part", fall_back_without_keeper },
   { "a new keeper waits one loan period", wait_as_new_keeper },
   { "late and repeated messages change nothing", ignore_old_messages },
+  { "a loan runs from the sending of its ASK", count_loan_from_ask },
   { "a daemon that is not the keeper lends nothing", refuse_when_lists_differ },
   { "a loan ends during a pause", end_loan_after_pause },
   { "the bound holds in a surge with a flapping member", keep_bound_in_surge },
