--- a/src/tarragontrack/control/rank.c
+++ b/src/tarragontrack/control/rank.c
@@ -1,6 +1,5 @@
 #include "tarragontrack/control/rank.h"
 #include "tarragontrack/control/slot.h"
-#include <string.h>
 
 /// Smallest factor of a weight; a slower backend server is ejected, not weighted.
 #define MIN_FACTOR 0.01
@@ -18,6 +17,17 @@
   return bits;
 }
 
+/// Hash of a well-mixed key and a well-mixed id: their difference times an odd constant, both
+/// halves of the product folded. A third of the instructions of mix_bits(), in the loop over
+/// candidates.
+static inline uint64_t
+fold_bits (uint64_t key, uint64_t mixed)
+{
+  unsigned __int128 product = (unsigned __int128) (key ^ mixed) * UINT64_C (0x9e3779b97f4a7c15);
+
+  return (uint64_t) (product >> 64) ^ (uint64_t) product;
+}
+
 /// -ln (u) for u = bits / 2^64, with an error below 0.0001. The C library's logarithm takes five
 /// times as long, which is too slow for 880 candidates in one decision.
 static double
@@ -34,10 +44,22 @@
   return (zeros + 1) * LN2 - ln;
 }
 
+TtCandidates
+tt_rank_candidates (const TtBoard *board, const TtPool *pool, bool local)
+{
+  uint32_t first = pool->place.first + (local ? 0 : pool->place.local);
+
+  return (TtCandidates){ .items = &board->place.candidates[first],
+                         .mixed = &board->place.mixed[first],
+                         .count = local ? pool->place.local : pool->place.count - pool->place.local,
+                         .least_inverse = pool->place.least_inverse };
+}
+
 double
-tt_rank_cost (uint64_t key, const TtCandidate *candidate)
+tt_rank_cost (uint64_t key, const TtCandidates *candidates, uint32_t index)
 {
-  return draw_exponential (mix_bits (key ^ candidate->mixed)) * candidate->inverse;
+  return draw_exponential (fold_bits (mix_bits (key), candidates->mixed[index]))
+         * candidates->items[index].inverse;
 }
 
 /// Puts a candidate into a ranking that keeps the best @limit.
@@ -62,8 +84,42 @@
   ranking->items[at] = (TtRanked){ .candidate = candidate, .cost = cost };
 }
 
+/// Least hash with which a candidate can cost less than @cost: 1 - u is below -ln (u), and no
+/// candidate's inverse weight is below @least_inverse. Spares the logarithm for all but about
+/// limit * ln (count) candidates.
+static uint64_t
+least_bits (double cost, double least_inverse)
+{
+  double unit = 1.0 - cost / least_inverse;
+
+  return unit > 0.0 ? (uint64_t) (unit * 0x1.0p53) << 11 : 0;
+}
+
+/// Keeps the best @limit candidates for a key.
+static void
+rank_key (const TtCandidates *candidates, uint64_t key, uint32_t limit, TtRanking *ranking)
+{
+  const uint64_t *mixed = candidates->mixed;
+  uint32_t count = candidates->count;
+  uint64_t floor_bits = 0;
+
+  key = mix_bits (key);
+  ranking->count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t bits = fold_bits (key, mixed[i]);
+
+      if (bits < floor_bits)
+        continue;
+      insert_ranked (ranking, limit, &candidates->items[i],
+                     draw_exponential (bits) * candidates->items[i].inverse);
+      if (ranking->count == limit)
+        floor_bits = least_bits (ranking->items[limit - 1].cost, candidates->least_inverse);
+    }
+}
+
 void
-tt_rank_chat (const TtCandidate *candidates, uint32_t count, uint64_t chat_key, uint64_t prefix_key,
+tt_rank_chat (const TtCandidates *candidates, uint64_t chat_key, uint64_t prefix_key,
               uint32_t spread, TtRanking *ranking)
 {
   TtRanking group;
@@ -71,19 +127,20 @@
 
   ranking->count = 0;
   group.count = 0;
-  rest.count = 0;
   if (spread > TT_RANK_MAX)
     spread = TT_RANK_MAX;
-  if (prefix_key != 0 && spread > 0 && spread < count)
-    for (uint32_t i = 0; i < count; i++)
-      insert_ranked (&group, spread, &candidates[i], tt_rank_cost (prefix_key, &candidates[i]));
+  if (prefix_key != 0 && spread > 0 && spread < candidates->count)
+    rank_key (candidates, prefix_key, spread, &group);
   for (uint32_t i = 0; i < group.count; i++)
-    insert_ranked (ranking, TT_RANK_KEEP, group.items[i].candidate,
-                   tt_rank_cost (chat_key, group.items[i].candidate));
+    {
+      uint32_t index = (uint32_t) (group.items[i].candidate - candidates->items);
+
+      insert_ranked (ranking, TT_RANK_KEEP, group.items[i].candidate,
+                     tt_rank_cost (chat_key, candidates, index));
+    }
   if (ranking->count == TT_RANK_KEEP)
     return;
-  for (uint32_t i = 0; i < count; i++)
-    insert_ranked (&rest, TT_RANK_KEEP, &candidates[i], tt_rank_cost (chat_key, &candidates[i]));
+  rank_key (candidates, chat_key, TT_RANK_KEEP, &rest);
   for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_KEEP; i++)
     {
       bool in_group = false;
@@ -96,16 +153,18 @@
 }
 
 void
-tt_rank_load (const TtCandidate *candidates, uint32_t count, uint64_t key, TtRanking *ranking)
+tt_rank_load (const TtCandidates *candidates, uint64_t key, TtRanking *ranking)
 {
+  key = mix_bits (key);
   ranking->count = 0;
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < candidates->count; i++)
     {
+      const TtCandidate *item = &candidates->items[i];
       // The hash breaks ties between equal loads and stays below one attempt.
-      double tie = (double) (mix_bits (key ^ candidates[i].mixed) >> 11) * 0x1.0p-54;
-      double load = candidates[i].backend->attempts.count + candidates[i].backend->place.waiting;
+      double tie = (double) (fold_bits (key, candidates->mixed[i]) >> 11) * 0x1.0p-54;
+      double load = item->backend->attempts.count + item->backend->place.waiting;
 
-      insert_ranked (ranking, TT_RANK_KEEP, &candidates[i], (load + tie) * candidates[i].inverse);
+      insert_ranked (ranking, TT_RANK_KEEP, item, (load + tie) * item->inverse);
     }
 }
 
@@ -116,6 +175,7 @@
   TtPlaceSection *section = &board->place;
 
   pool->place.first = section->candidate_count;
+  pool->place.least_inverse = 1.0 / MIN_FACTOR;
   for (int remote = 0; remote <= 1; remote++)
     {
       TT_LIST_FOREACH (&pool->backends, it)
@@ -126,11 +186,12 @@
 
           if (!tt_slot_usable (backend) || remote != (backend->domain_id != board->domain_id))
             continue;
-          section->candidates[section->candidate_count++]
-              = (TtCandidate){ .id = backend->id,
-                               .mixed = mix_bits (backend->id),
-                               .inverse = 1.0 / (weight * factor),
-                               .backend = backend };
+          section->mixed[section->candidate_count] = mix_bits (backend->id);
+          section->candidates[section->candidate_count++] = (TtCandidate){
+            .id = backend->id, .inverse = 1.0 / (weight * factor), .backend = backend
+          };
+          if (1.0 / (weight * factor) < pool->place.least_inverse)
+            pool->place.least_inverse = 1.0 / (weight * factor);
         }
       if (remote == 0)
         pool->place.local = section->candidate_count - pool->place.first;
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -9,6 +9,9 @@
 /// loan of TT_LOAN_PERIOD_US ends.
 #define RENEW_US (1600 * TT_MILLISECOND_US)
 #define RETRY_US (200 * TT_MILLISECOND_US)
+/// While a request waits, an ASK without an answer is repeated sooner: the round trip inside a
+/// failure domain is below a millisecond, so that the message was lost.
+#define WANTED_RETRY_US (8 * TT_MILLISECOND_US)
 /// Without an answer for this long, and without a loan, a keeper counts as unreachable.
 #define ORPHAN_US (600 * TT_MILLISECOND_US)
 /// A refused borrower asks again after this time, which doubles up to three times.
@@ -18,8 +21,6 @@
 /// in a failure domain, 20 a second made a tenth of the requests wait for the budget.
 #define ASKS_PER_S 40.0
 #define ASK_BURST 20.0
-/// Age up to which a room seen by gossip is used for the fallback.
-#define SEEN_US (60 * TT_SECOND_US)
 
 enum
 {
@@ -201,8 +202,7 @@
     }
 }
 
-/// Answers for one backend server. What is lent as asked for is left out of the answer, which
-/// halves its size.
+/// Answers for one backend server. What is lent as asked for is left out of the answer.
 static void
 answer_slot (TtBoard *board, const TtPeerMessage *ask, const TtPeerSlot *slot, TtPeerShare *answer,
              int64_t now_us)
@@ -224,8 +224,10 @@
   // A period of 0 tells the borrower that this daemon is not the keeper.
   if (backend != NULL && backend->pool != NULL && tt_keeper_is_self (board, backend))
     {
+      tt_keeper_return_spare (board, backend);
       if (!tt_keeper_lend (board, backend, &loan, &lent.slots, now_us))
         return;
+      refresh_backend (board, backend, now_us);
       lent.period_ms = (uint32_t) (TT_LOAN_PERIOD_US / TT_MILLISECOND_US);
       if (lent.slots == slot->slots)
         return;
@@ -313,21 +315,6 @@
     }
 }
 
-/// Slots of a daemon whose keeper cannot be reached: its part of the last known room.
-static uint32_t
-count_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
-{
-  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
-  double mean = backend->pool->share.mean_load * members;
-  double room = ceil (backend->pool->spec.load_multiple * mean) + 1.0;
-
-  if (backend->share.seen_us != 0 && now_us - backend->share.seen_us < SEEN_US)
-    room = backend->share.seen_room;
-  if (room > backend->batch_limit || backend->pool->spec.type == TT_SERVICE_PLAIN)
-    room = backend->batch_limit;
-  return (uint32_t) room / members;
-}
-
 /// Ends the loan of a backend server whose time is over, or replaces it by the fallback.
 static void
 check_loan (TtBoard *board, TtBackendServer *backend, int64_t now_us)
@@ -342,7 +329,7 @@
   else if (share->orphan || (now_us >= share->lent_until_us && (silent || share->keeper_id == 0)))
     {
       share->orphan = true;
-      share->lent = count_fallback (board, backend, now_us);
+      share->lent = tt_slot_fallback (board, backend, now_us);
       share->lent_until_us = now_us + 2 * TT_TICK_US;
     }
   else if (now_us >= share->lent_until_us)
@@ -469,8 +456,9 @@
         continue;
       if (tt_keeper_is_self (board, backend))
         refresh_backend (board, backend, now_us);
-      else if (backend->share.ask_sequence == 0 && board->share.asks >= 1.0
-               && tt_slot_can_ask (backend, now_us))
+      else if ((backend->share.ask_sequence == 0
+                || now_us - backend->share.asked_us >= WANTED_RETRY_US)
+               && board->share.asks >= 1.0 && tt_slot_can_ask (backend, now_us))
         {
           board->share.asks -= 1.0;
           ask_keeper (board, backend->pool, backend->share.keeper_id, now_us);
