--- a/src/tarragontrack/board/admit_defs.h
+++ b/src/tarragontrack/board/admit_defs.h
@@ -6,10 +6,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  TT_ACCOUNT_BUCKETS = 256,
+  TT_IDLE_FLOWS = 1024,
+  TT_ACCOUNT_PEERS = 4096 ///< counts of other daemons; the oldest of a slot is replaced
+};
+
 /// A client account of a document in force.
 typedef struct TtClientAccount
 {
-  TtLink link; ///< on TtAdmitSection.accounts
+  TtLink link;        ///< on TtAdmitSection.accounts
+  TtLink bucket_link; ///< on TtAdmitSection.buckets
   TtAccountSpec spec;
   uint64_t team_id;
   uint32_t in_flight; ///< requests of this daemon past the queue
@@ -17,32 +25,74 @@
   uint32_t fleet_in_flight; ///< sum over the fleet, from gossip
   double allowance;         ///< requests it may start now (token bucket)
   int64_t refilled_us;
-  double virtual_finish[TT_PRIORITY_COUNT]; ///< start-time fair queueing, one a priority
+  bool retired; ///< in no document any more; freed with its last request
 } TtClientAccount;
 
+/// Requests of an account past the queue of another daemon, from gossip.
+typedef struct
+{
+  uint64_t account_id; ///< 0 = unused
+  uint64_t member_id;
+  uint32_t in_flight;
+  int64_t seen_us;
+} TtAccountPeer;
+
+typedef struct TtPool TtPool;
+
+/// Requests of one account, service, priority and length class that wait, in order of arrival.
+///
+/// Start-time fair queueing: the flow with the lowest start tag is served next; serving a request
+/// raises the tag by its cost divided by the account's weight. A request that is shed costs
+/// nothing.
+typedef struct
+{
+  TtLink link;        ///< on TtAdmitPool.queues, TtAdmitSection.idle_flows or .free_flows
+  TtLink bucket_link; ///< on TtAdmitSection.flow_buckets
+  TtPool *pool;
+  TtClientAccount *account;
+  uint32_t priority;
+  bool is_long;
+  TtList requests; ///< TtAdmitRequest.flow_link, oldest first
+  double start;    ///< start tag of the oldest request
+  double backlog;  ///< sum of the costs of the waiting requests
+} TtAdmitFlow;
+
 typedef struct
 {
-  TtLink queue_link; ///< on TtAdmitPool.queues
-  double virtual_start;
-  double virtual_finish;
+  TtLink flow_link;  ///< on TtAdmitFlow.requests
+  TtAdmitFlow *flow; ///< NULL unless it waits
+  double cost;
   int64_t queued_us;
+  bool released; ///< counted in its account's in_flight
 } TtAdmitRequest;
 
 typedef struct
 {
-  TtList queues[TT_PRIORITY_COUNT]; ///< TtAdmitRequest.queue_link, by virtual start
-  double virtual_time[TT_PRIORITY_COUNT];
+  TtList queues[TT_PRIORITY_COUNT];       ///< TtAdmitFlow.link, by start tag
+  uint32_t waiting[TT_PRIORITY_COUNT];    ///< requests in each
+  double virtual_time[TT_PRIORITY_COUNT]; ///< start tag served last
   uint32_t queued;
-  uint32_t ready;    ///< released and not placed yet
-  double service_us; ///< mean time between two releases, for the expected wait
+  uint32_t ready;      ///< released and not placed yet
+  uint32_t long_ready; ///< part of them that are long
+  uint32_t releases;   ///< since the last one given to aged work
+  int64_t released_us; ///< last release
+  double service_us;   ///< mean time between two releases, for the expected wait
 } TtAdmitPool;
 
-/// BOUNDS     max_accounts accounts, max_queued requests; beyond it requests are shed
+/// BOUNDS     max_accounts accounts; max_queued requests, beyond it requests are shed; one flow
+///            for each request and TT_IDLE_FLOWS more, of which the one idle longest is replaced
 typedef struct
 {
   TtList accounts;
   TtList free_accounts;
   TtClientAccount *pool;
+  TtList buckets[TT_ACCOUNT_BUCKETS]; ///< TtClientAccount.bucket_link, by id
+  TtAdmitFlow *flows;
+  TtList flow_buckets[TT_ACCOUNT_BUCKETS]; ///< TtAdmitFlow.bucket_link, by key
+  TtList idle_flows;                       ///< nothing waits; the tag is kept, oldest first
+  TtList free_flows;
+  TtAccountPeer *peers; ///< TT_ACCOUNT_PEERS entries
+  int64_t next_sum_us;
   uint32_t max_accounts;
   uint32_t queued;
   uint32_t max_queued;
--- /dev/null
+++ b/src/tarragontrack/control/rank.c
@@ -0,0 +1,213 @@
+#include "tarragontrack/control/rank.h"
+#include "tarragontrack/control/slot.h"
+
+/// Smallest factor of a weight; a slower backend server is ejected, not weighted.
+#define MIN_FACTOR 0.01
+#define LN2 0.693147180559945309
+
+/// Spreads the bits of a number over all 64 bits (the finaliser of MurmurHash3).
+static uint64_t
+mix_bits (uint64_t bits)
+{
+  bits ^= bits >> 33;
+  bits *= UINT64_C (0xff51afd7ed558ccd);
+  bits ^= bits >> 33;
+  bits *= UINT64_C (0xc4ceb9fe1a85ec53);
+  bits ^= bits >> 33;
+  return bits;
+}
+
+/// Hash of a well-mixed key and a well-mixed id: their difference times an odd constant, both
+/// halves of the product folded. A third of the instructions of mix_bits(), in the loop over
+/// candidates.
+static inline uint64_t
+fold_bits (uint64_t key, uint64_t mixed)
+{
+  unsigned __int128 product = (unsigned __int128) (key ^ mixed) * UINT64_C (0x9e3779b97f4a7c15);
+
+  return (uint64_t) (product >> 64) ^ (uint64_t) product;
+}
+
+/// -ln (u) for u = bits / 2^64, with an error below 0.0001. The C library's logarithm takes five
+/// times as long, which is too slow for 880 candidates in one decision.
+static double
+draw_exponential (uint64_t bits)
+{
+  int zeros = __builtin_clzll (bits | 1);
+  uint64_t mantissa = (bits << zeros) << 1;
+  double m = (double) (mantissa >> 12) * 0x1.0p-52;
+  // ln (1 + m) on [0, 1), Abramowitz and Stegun 4.1.43.
+  double ln
+      = m
+        * (0.99949556 + m * (-0.49190896 + m * (0.28947478 + m * (-0.13606275 + m * 0.03215845))));
+
+  return (zeros + 1) * LN2 - ln;
+}
+
+TtCandidates
+tt_rank_candidates (const TtBoard *board, const TtPool *pool, bool local)
+{
+  uint32_t first = pool->place.first + (local ? 0 : pool->place.local);
+
+  return (TtCandidates){ .items = &board->place.candidates[first],
+                         .mixed = &board->place.mixed[first],
+                         .count = local ? pool->place.local : pool->place.count - pool->place.local,
+                         .least_inverse = pool->place.least_inverse };
+}
+
+double
+tt_rank_cost (uint64_t key, const TtCandidates *candidates, uint32_t index)
+{
+  return draw_exponential (fold_bits (mix_bits (key), candidates->mixed[index]))
+         * candidates->items[index].inverse;
+}
+
+/// Puts a candidate into a ranking that keeps the best @limit.
+static inline void
+insert_ranked (TtRanking *ranking, uint32_t limit, const TtCandidate *candidate, double cost)
+{
+  uint32_t at;
+
+  if (ranking->count == limit)
+    {
+      if (cost >= ranking->items[limit - 1].cost)
+        return;
+      at = limit - 1;
+    }
+  else
+    at = ranking->count++;
+  while (at > 0 && ranking->items[at - 1].cost > cost)
+    {
+      ranking->items[at] = ranking->items[at - 1];
+      at--;
+    }
+  ranking->items[at] = (TtRanked){ .candidate = candidate, .cost = cost };
+}
+
+/// Least hash with which a candidate can cost less than @cost: 1 - u is below -ln (u), and no
+/// candidate's inverse weight is below @least_inverse. Spares the logarithm for all but about
+/// limit * ln (count) candidates.
+static uint64_t
+least_bits (double cost, double least_inverse)
+{
+  double unit = 1.0 - cost / least_inverse;
+
+  return unit > 0.0 ? (uint64_t) (unit * 0x1.0p53) << 11 : 0;
+}
+
+/// Keeps the best @limit candidates for a key.
+static void
+rank_key (const TtCandidates *candidates, uint64_t key, uint32_t limit, TtRanking *ranking)
+{
+  const uint64_t *mixed = candidates->mixed;
+  uint32_t count = candidates->count;
+  uint64_t floor_bits = 0;
+
+  key = mix_bits (key);
+  ranking->count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t bits = fold_bits (key, mixed[i]);
+
+      if (bits < floor_bits)
+        continue;
+      insert_ranked (ranking, limit, &candidates->items[i],
+                     draw_exponential (bits) * candidates->items[i].inverse);
+      if (ranking->count == limit)
+        floor_bits = least_bits (ranking->items[limit - 1].cost, candidates->least_inverse);
+    }
+}
+
+void
+tt_rank_chat (const TtCandidates *candidates, uint64_t chat_key, uint64_t prefix_key,
+              uint32_t spread, TtRanking *ranking)
+{
+  TtRanking group;
+  TtRanking rest;
+
+  ranking->count = 0;
+  group.count = 0;
+  if (spread > TT_RANK_MAX)
+    spread = TT_RANK_MAX;
+  if (prefix_key != 0 && spread > 0 && spread < candidates->count)
+    rank_key (candidates, prefix_key, spread, &group);
+  for (uint32_t i = 0; i < group.count; i++)
+    {
+      uint32_t index = (uint32_t) (group.items[i].candidate - candidates->items);
+
+      insert_ranked (ranking, TT_RANK_KEEP, group.items[i].candidate,
+                     tt_rank_cost (chat_key, candidates, index));
+    }
+  if (ranking->count == TT_RANK_KEEP)
+    return;
+  rank_key (candidates, chat_key, TT_RANK_KEEP, &rest);
+  for (uint32_t i = 0; i < rest.count && ranking->count < TT_RANK_KEEP; i++)
+    {
+      bool in_group = false;
+
+      for (uint32_t g = 0; g < group.count; g++)
+        in_group |= group.items[g].candidate == rest.items[i].candidate;
+      if (!in_group)
+        ranking->items[ranking->count++] = rest.items[i];
+    }
+}
+
+void
+tt_rank_load (const TtCandidates *candidates, uint64_t key, TtRanking *ranking)
+{
+  key = mix_bits (key);
+  ranking->count = 0;
+  for (uint32_t i = 0; i < candidates->count; i++)
+    {
+      const TtCandidate *item = &candidates->items[i];
+      // The hash breaks ties between equal loads and stays below one attempt.
+      double tie = (double) (fold_bits (key, candidates->mixed[i]) >> 11) * 0x1.0p-54;
+      double load = item->backend->attempts.count + item->backend->place.waiting;
+
+      insert_ranked (ranking, TT_RANK_KEEP, item, (load + tie) * item->inverse);
+    }
+}
+
+/// Adds the usable backend servers of a pool, those of the own failure domain first.
+static void
+collect_pool (TtBoard *board, TtPool *pool)
+{
+  TtPlaceSection *section = &board->place;
+
+  pool->place.first = section->candidate_count;
+  pool->place.least_inverse = 1.0 / MIN_FACTOR;
+  for (int remote = 0; remote <= 1; remote++)
+    {
+      TT_LIST_FOREACH (&pool->backends, it)
+        {
+          TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+          double factor = backend->health.factor > MIN_FACTOR ? backend->health.factor : MIN_FACTOR;
+          double weight = backend->weight > 0.0 ? backend->weight : 1.0;
+
+          if (!tt_slot_usable (backend) || remote != (backend->domain_id != board->domain_id))
+            continue;
+          section->mixed[section->candidate_count] = mix_bits (backend->id);
+          section->candidates[section->candidate_count++] = (TtCandidate){
+            .id = backend->id, .inverse = 1.0 / (weight * factor), .backend = backend
+          };
+          if (1.0 / (weight * factor) < pool->place.least_inverse)
+            pool->place.least_inverse = 1.0 / (weight * factor);
+        }
+      if (remote == 0)
+        pool->place.local = section->candidate_count - pool->place.first;
+    }
+  pool->place.count = section->candidate_count - pool->place.first;
+}
+
+void
+tt_rank_collect (TtBoard *board, int64_t now_us)
+{
+  TtPlaceSection *section = &board->place;
+
+  section->candidate_count = 0;
+  section->collected_us = now_us;
+  section->backends = board->backends.all.count;
+  section->pools = board->backends.pools.count;
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    collect_pool (board, TT_CONTAINER_OF (it, TtPool, link));
+}
--- /dev/null
+++ b/src/tarragontrack/control/slot.c
@@ -0,0 +1,61 @@
+#include "tarragontrack/control/slot.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/progress.h"
+#include <math.h>
+
+/// Age up to which a room seen by gossip is used for the fallback.
+#define SEEN_US (60 * TT_SECOND_US)
+
+bool
+tt_slot_usable (const TtBackendServer *backend)
+{
+  return backend->roster.state == TT_BACKEND_LIVE && !backend->health.ejected;
+}
+
+uint32_t
+tt_slot_idle (const TtBackendServer *backend, int64_t now_us)
+{
+  const TtShareBackend *share = &backend->share;
+  uint32_t limit = tt_backend_limit (backend, now_us);
+  uint32_t slots = share->lent < limit ? share->lent : limit;
+
+  if (now_us >= share->lent_until_us || slots <= backend->attempts.count)
+    return 0;
+  return slots - backend->attempts.count;
+}
+
+bool
+tt_slot_can_ask (const TtBackendServer *backend, int64_t now_us)
+{
+  if (backend->attempts.count >= tt_backend_limit (backend, now_us))
+    return false;
+  if (backend->share.keeper_since_us != 0)
+    return backend->share.free > 0;
+  return !backend->share.orphan && backend->share.keeper_id != 0
+         && now_us >= backend->share.denied_until_us;
+}
+
+uint32_t
+tt_slot_long_cap (const TtBoard *board, const TtBackendServer *backend)
+{
+  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
+  double share = backend->pool->spec.long_share * backend->batch_limit / members;
+  uint32_t cap = (uint32_t) share;
+  uint64_t draw = tt_hash_pair (board->member.self->entry.id, backend->id);
+
+  return (double) (draw >> 11) * 0x1.0p-53 < share - cap ? cap + 1 : cap;
+}
+
+uint32_t
+tt_slot_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+{
+  uint32_t members = board->member.live_in_domain > 0 ? board->member.live_in_domain : 1;
+  double mean = backend->pool->share.mean_load * members;
+  double room = ceil (backend->pool->spec.load_multiple * mean) + 1.0;
+
+  if (backend->share.seen_us != 0 && now_us - backend->share.seen_us < SEEN_US)
+    room = backend->share.seen_room;
+  if (room > backend->batch_limit || backend->pool->spec.type == TT_SERVICE_PLAIN)
+    room = backend->batch_limit;
+  return (uint32_t) room / members;
+}
