--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -1,6 +1,7 @@
 /// The blackboard: all state of one daemon, in sections with one owner each.
 #pragma once
 
+#include "tarragontrack/board/acceptor_defs.h"
 #include "tarragontrack/board/action_defs.h"
 #include "tarragontrack/board/backend_defs.h"
 #include "tarragontrack/board/claim_section_defs.h"
@@ -8,6 +9,7 @@
 #include "tarragontrack/board/drain_defs.h"
 #include "tarragontrack/board/event_defs.h"
 #include "tarragontrack/board/lease_defs.h"
+#include "tarragontrack/board/order_section_defs.h"
 #include "tarragontrack/board/rng.h"
 
 #define TT_TICK_US (50 * TT_MILLISECOND_US)
@@ -80,6 +82,7 @@
   TtMemberSection member;
   TtConfigSection configuration;
   TtLeaseSection lease;
+  TtAcceptorSection acceptor;
   TtHealthSection health;
   TtLengthSection length;
   TtPoisonSection poison;
--- a/src/tarragontrack/board/lease_defs.h
+++ b/src/tarragontrack/board/lease_defs.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragontrack/board/limits_defs.h"
+#include "tarragontrack/board/object_defs.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -10,24 +11,43 @@
   TT_MAX_LEASES = 32
 };
 
+/// The open platform call of a lease.
+typedef enum
+{
+  TT_LEASE_CALL_NONE,
+  TT_LEASE_CALL_READ,
+  TT_LEASE_CALL_ACQUIRE,
+  TT_LEASE_CALL_RENEW,
+  TT_LEASE_CALL_RELEASE
+} TtLeaseCall;
+
 typedef struct
 {
   char role[TT_NAME_MAX]; ///< object leases/ROLE
   bool wanted;            ///< this daemon takes part
   bool held;              ///< checked against the present time by tt_lease_held()
-  uint64_t fencing;       ///< number of the current holding
+  uint64_t fencing;       ///< highest number seen; the current holding's while held
   uint64_t version;       ///< object version last seen
   uint64_t holder_id;     ///< holder last seen
   int64_t duration_us;
   int64_t renewed_us; ///< start of the last successful renewal, as holder
   int64_t acquired_us;
-  int64_t seen_us; ///< when `version` was first seen, as contender
+  int64_t seen_us; ///< when `version` was first seen, as contender; 0 = never
   int64_t next_try_us;
   uint64_t call; ///< open platform call; 0 = none
+  TtLeaseCall call_type;
+  int64_t call_us;       ///< start of the open call
+  uint64_t written;      ///< fencing number of a write without an answer; 0 = none
+  int64_t written_us;    ///< start of that write
+  bool seen_released;    ///< the object last seen is free
+  int64_t seen_duration; ///< duration in the object last seen, in µs
+  TtObject object;       ///< content of the open write
 } TtLease;
 
+/// BOUNDS     TT_MAX_LEASES roles; tt_lease_want() refuses more
 typedef struct
 {
-  TtLease leases[TT_MAX_LEASES];
+  TtLease *leases;
   uint32_t count;
+  uint64_t holder_id; ///< of this run of the daemon
 } TtLeaseSection;
--- a/src/tarragontrack/board/order_defs.h
+++ b/src/tarragontrack/board/order_defs.h
@@ -22,9 +22,3 @@
   int64_t ordered_us; ///< last order sent; 0 = none
   bool pending;       ///< observed differs from wanted
 } TtOrderBackend;
-
-typedef struct
-{
-  int64_t next_check_us;
-  double load_tokens; ///< budget of weight loads, from the weight store's rate
-} TtOrderSection;
--- /dev/null
+++ b/src/tarragontrack/control/audit.c
@@ -0,0 +1,371 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/control/acceptor.h"
+#include "tarragontrack/control/config.h"
+#include "tarragontrack/control/member.h"
+#include <stdio.h>
+#include <string.h>
+
+#define RETRY_US (500 * TT_MILLISECOND_US)
+
+/// Starts a call of the acceptor and remembers what it is for.
+static void
+call (TtBoard *board, TtAcceptStep step, TtPlatformOp op, const char *key, uint64_t version,
+      int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  section->step = step;
+  section->call
+      = tt_board_call (board, op, key, version, op == TT_PLATFORM_PUT ? &section->object : NULL);
+  section->next_try_us = now_us + 20 * RETRY_US;
+}
+
+/// The oldest change that is not accepted; NULL if this daemon knows of none.
+static const TtConfigChange *
+next_change (const TtBoard *board)
+{
+  const TtConfigSection *configuration = &board->configuration;
+  const TtConfigChange *next = NULL;
+
+  for (uint32_t i = 0; i < TT_CONFIG_CHANGES; i++)
+    {
+      const TtConfigChange *change = &configuration->changes[i];
+
+      if (change->epoch > board->acceptor.accepted.epoch && change->epoch <= configuration->epoch
+          && (next == NULL || change->epoch < next->epoch))
+        next = change;
+    }
+  return next;
+}
+
+/// True if every failure domain with an entry host has the change in force, or is left out.
+static bool
+is_acceptable (TtBoard *board, const TtConfigChange *change, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  for (uint32_t d = 0; d < board->roster.domain_count; d++)
+    {
+      const TtRosterDomain *listed = &board->roster.domains[d];
+      bool ready = listed->entry_hosts == 0;
+
+      for (uint32_t i = 0; i < section->domain_count && !ready; i++)
+        if (section->domains[i].id == listed->id)
+          ready = tt_acceptor_confirmed (&section->domains[i], board->configuration.generation,
+                                         change->epoch)
+                  || (change->team[0] != '\0'
+                      && tt_acceptor_excluded (board, &section->domains[i], change, now_us));
+      if (!ready)
+        return false;
+    }
+  return board->roster.domain_count > 0;
+}
+
+/// Writes config/accepted for the change in hand.
+static void
+write_accepted (TtBoard *board, uint64_t audit_number, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  memset (&section->object, 0, sizeof section->object);
+  section->object.type = TT_OBJECT_ACCEPTED;
+  section->object.accepted = (TtAcceptedObject){ .generation = board->configuration.generation,
+                                                 .epoch = section->change.epoch,
+                                                 .audit_number = audit_number };
+  call (board, TT_ACCEPT_WRITE_ACCEPTED, TT_PLATFORM_PUT, "config/accepted",
+        section->accepted_version, now_us);
+}
+
+/// Creates the change's entry of the audit trail.
+static void
+write_entry (TtBoard *board, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  TtAuditObject *entry = &section->object.audit;
+  char key[TT_KEY_MAX];
+
+  memset (&section->object, 0, sizeof section->object);
+  section->object.type = TT_OBJECT_AUDIT;
+  entry->number = section->accepted.audit_number + 1;
+  if (entry->number > 1)
+    entry->previous_hash = section->last_hash;
+  entry->generation = section->change.generation;
+  entry->epoch = section->change.epoch;
+  memcpy (entry->team, section->change.team, sizeof entry->team);
+  memcpy (entry->author, section->change.author, sizeof entry->author);
+  entry->document_hash = section->change.hash;
+  entry->staged_s = section->change.staged_s;
+  entry->accepted_s = tt_acceptor_wall_s (board, now_us);
+  for (uint32_t i = 0; i < section->domain_count; i++)
+    {
+      const TtAcceptorDomain *domain = &section->domains[i];
+      TtAuditDomain *to = &entry->domains[entry->domain_count++];
+
+      memcpy (to->name, domain->name, sizeof to->name);
+      to->excluded
+          = !tt_acceptor_confirmed (domain, board->configuration.generation, section->change.epoch);
+      to->in_force_s = to->excluded ? 0 : domain->report.confirmed_s;
+    }
+  (void) snprintf (key, sizeof key, "audit/%llu", (unsigned long long) entry->number);
+  call (board, TT_ACCEPT_WRITE_AUDIT, TT_PLATFORM_PUT, key, 0, now_us);
+}
+
+static void
+read_entry (TtBoard *board, TtAcceptStep step, uint64_t number, int64_t now_us)
+{
+  char key[TT_KEY_MAX];
+
+  (void) snprintf (key, sizeof key, "audit/%llu", (unsigned long long) number);
+  call (board, step, TT_PLATFORM_GET, key, 0, now_us);
+}
+
+/// Begins to accept the next change, if its failure domains have it in force.
+static void
+begin (TtBoard *board, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  const TtConfigSection *configuration = &board->configuration;
+  const TtConfigChange *change = next_change (board);
+  // After a repair, or when a change was replaced before this daemon saw it, the rest has no entry.
+  TtConfigChange rest = { .generation = configuration->generation,
+                          .epoch = configuration->epoch,
+                          .known_us = now_us };
+
+  if (change == NULL
+      && tt_member_newer (configuration->generation, configuration->epoch,
+                          section->accepted.generation, section->accepted.epoch)
+      && configuration->epoch >= section->accepted.epoch)
+    change = &rest;
+  if (change == NULL || !is_acceptable (board, change, now_us))
+    return;
+  section->change = *change;
+  section->change_is_entry = change != &rest && !change->refused;
+  if (!section->change_is_entry)
+    write_accepted (board, section->accepted.audit_number, now_us);
+  else if (section->accepted.audit_number > 0)
+    read_entry (board, TT_ACCEPT_READ_AUDIT, section->accepted.audit_number, now_us);
+  else
+    write_entry (board, now_us);
+}
+
+/// Writes the next document back into a restored store, then the head.
+static void
+repair (TtBoard *board, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  TtConfigSection *configuration = &board->configuration;
+  char key[TT_KEY_MAX];
+
+  while (section->repair_slot < configuration->slot_count)
+    {
+      const TtDocumentSlot *slot = &configuration->slots[section->repair_slot];
+      TtDocumentObject *object = &section->object.document;
+
+      if (slot->document == NULL)
+        {
+          section->repair_slot++;
+          continue;
+        }
+      memset (&section->object, 0, sizeof section->object);
+      section->object.type = TT_OBJECT_DOCUMENT;
+      (void) snprintf (object->team, sizeof object->team, "%s", slot->team);
+      (void) snprintf (object->author, sizeof object->author, "%s", slot->author);
+      object->staged_s = slot->staged_s;
+      object->hash = slot->hash;
+      object->text = slot->text;
+      object->text_size = slot->text_size;
+      object->document = slot->document;
+      tt_config_document_key (&slot->hash, key);
+      call (board, TT_ACCEPT_WRITE_DOCUMENT, TT_PLATFORM_PUT, key, 0, now_us);
+      return;
+    }
+  call (board, TT_ACCEPT_READ_HEAD, TT_PLATFORM_GET, "config/head", 0, now_us);
+}
+
+/// Writes a head of a higher generation over the restored one. Changes that operators made in the
+/// restored store stay if their epoch is above the one in force.
+static void
+write_head (TtBoard *board, const TtHeadObject *found, uint64_t version, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  const TtConfigSection *configuration = &board->configuration;
+  TtHeadObject *head = &section->object.head;
+
+  memset (&section->object, 0, sizeof section->object);
+  section->object.type = TT_OBJECT_HEAD;
+  if (found != NULL)
+    *head = *found;
+  if (configuration->generation > head->generation)
+    head->generation = configuration->generation;
+  head->generation++;
+  if (configuration->epoch > head->epoch)
+    head->epoch = configuration->epoch;
+  for (uint32_t i = 0; i < configuration->slot_count; i++)
+    {
+      const TtDocumentSlot *slot = &configuration->slots[i];
+      uint32_t t = 0;
+
+      if (slot->document == NULL)
+        continue;
+      while (t < head->team_count && strcmp (head->teams[t].team, slot->team) != 0)
+        t++;
+      if (t == TT_MAX_TEAMS || (t < head->team_count && head->teams[t].epoch > slot->epoch))
+        continue;
+      if (t == head->team_count)
+        head->team_count++;
+      (void) snprintf (head->teams[t].team, sizeof head->teams[t].team, "%s", slot->team);
+      head->teams[t].epoch = slot->epoch;
+      head->teams[t].hash = slot->hash;
+    }
+  call (board, TT_ACCEPT_WRITE_HEAD, TT_PLATFORM_PUT, "config/head", version, now_us);
+}
+
+void
+tt_audit_run (TtBoard *board, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  if (section->call != 0 && now_us >= section->next_try_us)
+    {
+      section->call = 0;
+      section->accepted_known = false;
+    }
+  if (section->call != 0 || (section->step == TT_ACCEPT_IDLE && now_us < section->next_try_us))
+    return;
+  section->step = TT_ACCEPT_IDLE;
+  if (board->configuration.restored)
+    {
+      section->repair_slot = 0;
+      section->accepted_known = false;
+      repair (board, now_us);
+    }
+  else if (!section->accepted_known)
+    call (board, TT_ACCEPT_READ_ACCEPTED, TT_PLATFORM_GET, "config/accepted", 0, now_us);
+  else
+    begin (board, now_us);
+}
+
+/// Takes in config/accepted as read.
+static void
+take_accepted (TtBoard *board, const TtPlatformEvent *answer)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  if (answer->code == TT_E_NOT_FOUND)
+    section->accepted = (TtAcceptedObject){ 0 };
+  else if (answer->code == TT_OK && answer->object != NULL
+           && answer->object->type == TT_OBJECT_ACCEPTED)
+    section->accepted = answer->object->accepted;
+  else
+    return;
+  section->accepted_version = answer->code == TT_OK ? answer->version : 0;
+  section->accepted_known = true;
+  if (section->accepted.epoch > board->configuration.accepted_epoch)
+    board->configuration.accepted_epoch = section->accepted.epoch;
+}
+
+/// Goes on with an entry that was written already: by this daemon without an answer, or by an
+/// acceptor that stopped before it wrote config/accepted.
+static void
+take_existing (TtBoard *board, const TtPlatformEvent *answer, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  const TtAuditObject *entry;
+
+  if (answer->code != TT_OK || answer->object == NULL || answer->object->type != TT_OBJECT_AUDIT)
+    return;
+  entry = &answer->object->audit;
+  section->change.epoch
+      = entry->epoch > section->accepted.epoch ? entry->epoch : section->accepted.epoch;
+  write_accepted (board, entry->number, now_us);
+}
+
+/// Notes that config/accepted was written.
+static void
+finish (TtBoard *board, uint64_t version)
+{
+  TtAcceptorSection *section = &board->acceptor;
+
+  section->accepted = section->object.accepted;
+  section->accepted_version = version;
+  if (section->accepted.epoch > board->configuration.accepted_epoch)
+    board->configuration.accepted_epoch = section->accepted.epoch;
+  board->dirty = true;
+  tt_board_log (board, TT_LOG_CHANGE_ACCEPTED, "epoch=%llu generation=%llu team=%s audit=%llu",
+                (unsigned long long) section->accepted.epoch,
+                (unsigned long long) section->accepted.generation, section->change.team,
+                (unsigned long long) section->accepted.audit_number);
+}
+
+/// Takes in the answer to a call of a repair.
+static void
+answer_repair (TtBoard *board, TtAcceptStep step, const TtPlatformEvent *answer, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  bool found
+      = answer->code == TT_OK && answer->object != NULL && answer->object->type == TT_OBJECT_HEAD;
+
+  if (step == TT_ACCEPT_WRITE_DOCUMENT && (answer->code == TT_OK || answer->code == TT_E_CONFLICT))
+    {
+      // A conflict means that the object is there: it is named by its content.
+      section->repair_slot++;
+      repair (board, now_us);
+    }
+  else if (step == TT_ACCEPT_READ_HEAD && (found || answer->code == TT_E_NOT_FOUND))
+    {
+      // A stale answer ends in a conflict below; a fresh one of another generation was repaired.
+      if (!found || answer->object->head.generation <= board->configuration.generation)
+        write_head (board, found ? &answer->object->head : NULL, found ? answer->version : 0,
+                    now_us);
+    }
+  else if (step == TT_ACCEPT_WRITE_HEAD)
+    {
+      board->configuration.restored = false;
+      board->configuration.low_head_us = 0;
+      board->configuration.next_poll_us = now_us;
+    }
+}
+
+void
+tt_audit_answer (TtBoard *board, const TtPlatformEvent *answer, int64_t now_us)
+{
+  TtAcceptorSection *section = &board->acceptor;
+  TtAcceptStep step = section->step;
+
+  section->call = 0;
+  section->step = TT_ACCEPT_IDLE;
+  section->next_try_us = answer->code == TT_OK ? now_us : now_us + RETRY_US;
+  if (step == TT_ACCEPT_READ_ACCEPTED)
+    {
+      take_accepted (board, answer);
+      section->next_try_us = section->accepted_known ? now_us : now_us + RETRY_US;
+    }
+  else if (step == TT_ACCEPT_READ_AUDIT && answer->code == TT_OK && answer->object != NULL
+           && answer->object->type == TT_OBJECT_AUDIT)
+    {
+      section->last_hash = answer->object->audit.hash;
+      write_entry (board, now_us);
+    }
+  else if (step == TT_ACCEPT_READ_AUDIT && answer->code == TT_E_NOT_FOUND)
+    {
+      // A restored store lacks the entry: the trail goes on, and its check shows the gap.
+      memset (&section->last_hash, 0, sizeof section->last_hash);
+      write_entry (board, now_us);
+    }
+  else if (step == TT_ACCEPT_WRITE_AUDIT && answer->code == TT_OK)
+    write_accepted (board, section->accepted.audit_number + 1, now_us);
+  else if (step == TT_ACCEPT_WRITE_AUDIT
+           && (answer->code == TT_E_CONFLICT || answer->code == TT_E_TIMEOUT))
+    read_entry (board, TT_ACCEPT_CHECK_AUDIT, section->accepted.audit_number + 1, now_us);
+  else if (step == TT_ACCEPT_CHECK_AUDIT)
+    take_existing (board, answer, now_us);
+  else if (step == TT_ACCEPT_WRITE_ACCEPTED)
+    {
+      if (answer->code == TT_OK)
+        finish (board, answer->version);
+      else
+        section->accepted_known = false;
+    }
+  else
+    answer_repair (board, step, answer, now_us);
+}
--- a/src/tarragontrack/control/controllers.h
+++ b/src/tarragontrack/control/controllers.h
@@ -13,6 +13,7 @@
 TtController tt_member_controller (void);
 TtController tt_config_controller (void);
 TtController tt_lease_controller (void);
+TtController tt_acceptor_controller (void);
 TtController tt_health_controller (void);
 TtController tt_length_controller (void);
 TtController tt_poison_controller (void);
--- /dev/null
+++ b/src/tarragontrack/control/document_store.c
@@ -0,0 +1,453 @@
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/control/config.h"
+#include "tarragontrack/control/member.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// A head below the epoch in force is a restored store, not a stale replica, after this long.
+#define RESTORED_US (3 * TT_SECOND_US)
+/// A question without an answer is asked again, of another daemon, after this long.
+#define SYNC_RETRY_US (400 * TT_MILLISECOND_US)
+#define SYNC_TRIES 3
+
+void
+tt_config_document_key (const TtDigest *hash, char *key)
+{
+  size_t length = (size_t) snprintf (key, TT_KEY_MAX, "documents/");
+
+  for (size_t b = 0; b < sizeof hash->bytes; b++)
+    length += (size_t) snprintf (key + length, TT_KEY_MAX - length, "%02x", hash->bytes[b]);
+}
+
+TtDocumentSlot *
+tt_config_slot (TtBoard *board, const char *team)
+{
+  TtConfigSection *section = &board->configuration;
+  TtDocumentSlot *slot;
+
+  for (uint32_t i = 0; i < section->slot_count; i++)
+    if (strcmp (section->slots[i].team, team) == 0)
+      return &section->slots[i];
+  if (section->slot_count == TT_MAX_TEAMS)
+    {
+      tt_board_count (board, TT_COUNT_POOL_FULL, 1);
+      return NULL;
+    }
+  slot = &section->slots[section->slot_count++];
+  memset (slot, 0, sizeof *slot);
+  (void) snprintf (slot->team, sizeof slot->team, "%s", team);
+  return slot;
+}
+
+/// Notes a change for the audit trail.
+static void
+record_change (TtBoard *board, const TtConfigDocument *document, bool refused, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+  TtConfigChange *change = &section->changes[section->change_next];
+
+  section->change_next = (section->change_next + 1) % TT_CONFIG_CHANGES;
+  *change = (TtConfigChange){ .generation = document->generation,
+                              .epoch = document->epoch,
+                              .staged_s = document->staged_s,
+                              .hash = *document->hash,
+                              .known_us = now_us,
+                              .refused = refused };
+  (void) snprintf (change->team, sizeof change->team, "%s", document->team);
+  (void) snprintf (change->author, sizeof change->author, "%s", document->author);
+}
+
+/// Notes since which epoch the team's documents make cut-off daemons refuse. The acceptor may leave
+/// out a failure domain only if the document in force there says so.
+static void
+record_detached (TtDocumentSlot *slot, const TtDocument *document, uint64_t epoch)
+{
+  if (document->detached != TT_DETACHED_REFUSE)
+    {
+      slot->refuse_from_epoch = 0;
+      slot->refuse_after_s = 0;
+      return;
+    }
+  if (slot->refuse_from_epoch == 0)
+    slot->refuse_from_epoch = epoch;
+  if (document->detach_after_s > slot->refuse_after_s)
+    slot->refuse_after_s = document->detach_after_s;
+}
+
+/// Puts a copy of the document and its text into the slot.
+static int
+store_document (TtDocumentSlot *slot, const TtConfigDocument *from)
+{
+  TtDocument *document = malloc (sizeof *document);
+  char *text = malloc ((size_t) from->text_size + 1);
+
+  if (document == NULL || text == NULL)
+    {
+      free (document);
+      free (text);
+      return TT_E_NO_MEMORY;
+    }
+  *document = *from->document;
+  if (from->text_size > 0)
+    memcpy (text, from->text, from->text_size);
+  text[from->text_size] = '\0';
+  free (slot->old_document);
+  free (slot->old_text);
+  slot->old_document = slot->document;
+  slot->old_text = slot->text;
+  slot->document = document;
+  slot->text = text;
+  slot->text_size = from->text_size;
+  slot->hash = *from->hash;
+  slot->staged_s = from->staged_s;
+  (void) snprintf (slot->author, sizeof slot->author, "%s", from->author);
+  return TT_OK;
+}
+
+int
+tt_config_apply (TtBoard *board, const TtConfigDocument *document, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+  TtDocumentSlot *slot = tt_config_slot (board, document->team);
+  bool same;
+  int code;
+
+  if (slot == NULL)
+    return TT_E_LIMIT;
+  if (!tt_member_newer (document->generation, document->epoch, slot->generation, slot->epoch))
+    return TT_E_STALE;
+  same = slot->document != NULL && tt_digest_equal (&slot->hash, document->hash);
+  if (document->document == NULL)
+    {
+      tt_board_count (board, TT_COUNT_CONFIG_REFUSED, 1);
+      tt_board_log (board, TT_LOG_DOCUMENT_REFUSED, "team=%s epoch=%llu %s", document->team,
+                    (unsigned long long) document->epoch,
+                    document->error != NULL ? document->error->detail : "");
+    }
+  else if (!same)
+    {
+      code = store_document (slot, document);
+      if (code < 0)
+        return code;
+      section->changed = true;
+      tt_board_count (board, TT_COUNT_CONFIG_APPLIED, 1);
+      tt_board_log (board, TT_LOG_DOCUMENT_IN_FORCE, "team=%s epoch=%llu", slot->team,
+                    (unsigned long long) document->epoch);
+    }
+  slot->generation = document->generation;
+  slot->epoch = document->epoch;
+  slot->refused = document->document == NULL;
+  if (!slot->refused)
+    record_detached (slot, document->document, document->epoch);
+  record_change (board, document, slot->refused, now_us);
+  board->dirty = true;
+  return TT_OK;
+}
+
+bool
+tt_config_has_target (const TtConfigSection *section)
+{
+  for (uint32_t i = 0; i < section->slot_count; i++)
+    if (tt_member_newer (section->slots[i].wanted_generation, section->slots[i].wanted_epoch,
+                         section->slots[i].generation, section->slots[i].epoch))
+      return false;
+  return true;
+}
+
+void
+tt_config_raise (TtBoard *board, uint64_t generation, uint64_t epoch, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+
+  if (!tt_member_newer (generation, epoch, section->generation, section->epoch))
+    return;
+  if (generation > section->generation)
+    section->generation_us = now_us;
+  section->generation = generation;
+  section->epoch = epoch;
+  board->dirty = true;
+}
+
+void
+tt_config_know (TtBoard *board, uint64_t generation, uint64_t epoch, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+
+  if (!tt_member_newer (generation, epoch, section->known_generation, section->known_epoch))
+    return;
+  section->known_generation = generation;
+  section->known_epoch = epoch;
+  if (section->behind_us == 0)
+    section->behind_us = now_us;
+}
+
+/// True if the head lacks changes that are in force here: an older version, or a restored store in
+/// which other changes were made since.
+static bool
+lacks_changes (TtBoard *board, const TtHeadObject *head)
+{
+  const TtConfigSection *section = &board->configuration;
+
+  if (tt_member_newer (section->generation, section->epoch, head->generation, head->epoch))
+    return true;
+  if (head->generation != section->generation)
+    return false;
+  for (uint32_t i = 0; i < section->slot_count; i++)
+    {
+      const TtDocumentSlot *slot = &section->slots[i];
+      bool found = slot->epoch == 0;
+
+      for (uint32_t t = 0; t < head->team_count && t < TT_MAX_TEAMS && !found; t++)
+        if (strcmp (head->teams[t].team, slot->team) == 0)
+          found = head->teams[t].epoch > slot->epoch
+                  || (head->teams[t].epoch == slot->epoch
+                      && (slot->refused || slot->document == NULL
+                          || tt_digest_equal (&head->teams[t].hash, &slot->hash)));
+      if (!found)
+        return true;
+    }
+  return false;
+}
+
+/// Notes a head that lacks changes. One such answer may come from a stale replica.
+static void
+note_low_head (TtBoard *board, const TtHeadObject *head, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+
+  if (section->low_head_us == 0)
+    section->low_head_us = now_us;
+  if (section->next_poll_us > now_us + RESTORED_US / 2)
+    section->next_poll_us = now_us + RESTORED_US / 2;
+  if (section->restored || now_us - section->low_head_us < RESTORED_US)
+    return;
+  section->restored = true;
+  tt_board_log (board, TT_LOG_STORE_RESTORED,
+                "epoch=%llu in force, head at generation=%llu epoch=%llu",
+                (unsigned long long) section->epoch, (unsigned long long) head->generation,
+                (unsigned long long) head->epoch);
+}
+
+void
+tt_config_take_head (TtBoard *board, const TtHeadObject *head, int64_t started_us, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+
+  if (lacks_changes (board, head))
+    {
+      note_low_head (board, head, now_us);
+      return;
+    }
+  section->low_head_us = 0;
+  section->restored = false;
+  if (tt_member_newer (section->target_generation, section->target_epoch, head->generation,
+                       head->epoch))
+    return;
+  tt_config_know (board, head->generation, head->epoch, now_us);
+  section->target_generation = head->generation;
+  section->target_epoch = head->epoch;
+  if (started_us != 0)
+    section->target_us = started_us;
+  for (uint32_t t = 0; t < head->team_count && t < TT_MAX_TEAMS; t++)
+    {
+      const TtHeadTeam *team = &head->teams[t];
+      TtDocumentSlot *slot = tt_config_slot (board, team->team);
+
+      if (slot == NULL)
+        continue;
+      if (!tt_member_newer (head->generation, team->epoch, slot->generation, slot->epoch))
+        continue;
+      if (slot->epoch == team->epoch && slot->document != NULL
+          && tt_digest_equal (&slot->hash, &team->hash))
+        {
+          slot->generation = head->generation;
+          continue;
+        }
+      if (slot->wanted_generation == head->generation && slot->wanted_epoch == team->epoch
+          && tt_digest_equal (&slot->wanted_hash, &team->hash))
+        continue;
+      slot->wanted_generation = head->generation;
+      slot->wanted_epoch = team->epoch;
+      slot->wanted_hash = team->hash;
+      slot->call = 0;
+      slot->next_fetch_us = now_us;
+    }
+  board->dirty = true;
+}
+
+/// Answers with the document of the lowest epoch above the one asked for. If there is none, a
+/// message without a team tells that all documents up to the epoch in force have been sent.
+static void
+answer_ask (TtBoard *board, const TtPeerMessage *ask)
+{
+  const TtConfigSection *section = &board->configuration;
+  const TtMember *member = tt_member_find (board, ask->sender_id);
+  const TtDocumentSlot *next = NULL;
+  TtPeerMessage *answer;
+  bool partial = false;
+
+  if (member == NULL || !section->complete)
+    return;
+  for (uint32_t i = 0; i < section->slot_count; i++)
+    {
+      const TtDocumentSlot *slot = &section->slots[i];
+
+      partial
+          = partial
+            || tt_member_newer (slot->generation, slot->epoch, section->generation, section->epoch);
+      if (slot->document == NULL
+          || !tt_member_newer (slot->generation, slot->epoch, ask->document.generation,
+                               ask->document.epoch))
+        continue;
+      if (next == NULL
+          || tt_member_newer (next->generation, next->epoch, slot->generation, slot->epoch))
+        next = slot;
+    }
+  // A document beyond the epoch in force has replaced one that the end of the answers would claim
+  // to have been sent.
+  if (next == NULL && partial)
+    return;
+  answer = tt_board_send (board, member, TT_PEER_DOCUMENT);
+  if (answer == NULL)
+    return;
+  answer->document.generation = next != NULL ? next->generation : section->generation;
+  answer->document.epoch = next != NULL ? next->epoch : section->epoch;
+  if (next == NULL)
+    return;
+  (void) snprintf (answer->document.team, sizeof answer->document.team, "%s", next->team);
+  (void) snprintf (answer->document.author, sizeof answer->document.author, "%s", next->author);
+  answer->document.staged_s = next->staged_s;
+  answer->document.hash = next->hash;
+  answer->document.text = next->text;
+  answer->document.text_size = next->text_size;
+  answer->document.document = next->document;
+}
+
+/// Asks the present daemon for the next document.
+static void
+ask_next (TtBoard *board, const TtMember *member, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+  TtPeerMessage *message = tt_board_send (board, member, TT_PEER_DOCUMENT_ASK);
+
+  section->sync_us = now_us;
+  if (message == NULL)
+    return;
+  message->document.generation = section->sync_generation;
+  message->document.epoch = section->sync_epoch;
+}
+
+/// Takes in a document. Only answers of the daemon that was asked move the position: another one
+/// may have replaced a document that lies in between.
+static void
+take_peer_document (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+  const TtPeerDocument *from = &message->document;
+  const TtMember *member = tt_member_find (board, message->sender_id);
+  TtConfigDocument document = { .team = from->team,
+                                .author = from->author,
+                                .staged_s = from->staged_s,
+                                .generation = from->generation,
+                                .epoch = from->epoch,
+                                .hash = &from->hash,
+                                .text = from->text,
+                                .text_size = from->text_size,
+                                .document = from->document,
+                                .error = &from->error };
+  bool asked = section->sync_us != 0 && message->sender_id == section->sync_peer
+               && message->sender_incarnation == section->sync_incarnation;
+
+  if (from->team[0] == '\0')
+    {
+      if (asked
+          && !tt_member_newer (section->sync_generation, section->sync_epoch, from->generation,
+                               from->epoch))
+        {
+          section->sync_us = 0;
+          section->sync_peer = 0;
+          tt_config_raise (board, from->generation, from->epoch, now_us);
+        }
+      return;
+    }
+  // The platform decides about a document that this version refuses.
+  if (from->document == NULL)
+    return;
+  tt_config_know (board, from->generation, from->epoch, now_us);
+  if (tt_config_apply (board, &document, now_us) == TT_E_NO_MEMORY)
+    return;
+  if (!asked
+      || !tt_member_newer (from->generation, from->epoch, section->sync_generation,
+                           section->sync_epoch))
+    return;
+  section->sync_generation = from->generation;
+  section->sync_epoch = from->epoch;
+  section->sync_tries = 0;
+  if (member != NULL)
+    ask_next (board, member, now_us);
+}
+
+/// Takes in the epochs that gossip tells of, and chooses a daemon to ask.
+static void
+take_epochs (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+
+  section->heard_peer = section->heard_peer || message->gossip.member_count > 0;
+  for (uint32_t i = 0; i < message->gossip.member_count && i < TT_PEER_MEMBERS; i++)
+    {
+      const TtMemberEntry *entry = &message->gossip.members[i];
+
+      tt_config_know (board, entry->generation, entry->epoch, now_us);
+      if (section->sync_peer == 0 && entry->id != board->member.self->entry.id
+          && entry->state <= TT_MEMBER_SUSPECT
+          && tt_member_newer (entry->generation, entry->epoch, section->generation, section->epoch))
+        {
+          section->sync_peer = entry->id;
+          section->sync_incarnation = entry->incarnation;
+          section->sync_generation = section->generation;
+          section->sync_epoch = section->epoch;
+          section->sync_us = 0;
+          section->sync_tries = 0;
+        }
+    }
+}
+
+void
+tt_config_peer (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
+{
+  if (message->type == TT_PEER_GOSSIP)
+    take_epochs (board, message, now_us);
+  else if (message->type == TT_PEER_DOCUMENT_ASK)
+    answer_ask (board, message);
+  else if (message->type == TT_PEER_DOCUMENT)
+    take_peer_document (board, message, now_us);
+}
+
+void
+tt_config_sync (TtBoard *board, int64_t now_us)
+{
+  TtConfigSection *section = &board->configuration;
+  const TtMember *member;
+
+  if (section->sync_peer == 0)
+    return;
+  if (!tt_member_newer (section->known_generation, section->known_epoch, section->generation,
+                        section->epoch))
+    {
+      section->sync_peer = 0;
+      return;
+    }
+  if (section->sync_us != 0 && now_us - section->sync_us < SYNC_RETRY_US)
+    return;
+  member = tt_member_find (board, section->sync_peer);
+  if (member == NULL || section->sync_tries == SYNC_TRIES)
+    {
+      // The next gossip message names another one.
+      section->sync_peer = 0;
+      return;
+    }
+  section->sync_tries++;
+  ask_next (board, member, now_us);
+}
--- /dev/null
+++ b/src/tarragontrack/control/gossip_read.c
@@ -0,0 +1,126 @@
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/control/member.h"
+#include "tarragontrack/control/roster.h"
+
+/// A passed-on value replaces the owner's own one only after this time.
+#define DIRECT_US (3 * TT_SECOND_US)
+/// Account counts not heard again count as 0 after this long, and this much more for each daemon of
+/// the failure domain: with more daemons, each hears from another one less often.
+#define ACCOUNT_EXPIRY_US (3 * TT_SECOND_US)
+#define ACCOUNT_EXPIRY_MEMBER_US (TT_SECOND_US / 2)
+
+TtMemberAccount *
+tt_gossip_accounts (TtBoard *board, uint64_t account_id)
+{
+  uint32_t buckets = TT_MEMBER_ACCOUNTS / TT_GOSSIP_ACCOUNT_WAYS;
+
+  return &board->member.accounts[account_id % buckets * TT_GOSSIP_ACCOUNT_WAYS];
+}
+
+/// Notes the count of a client account at another daemon, or in another failure domain.
+static void
+take_account (TtBoard *board, const TtPeerAccount *account, bool direct, int64_t now_us)
+{
+  TtMemberAccount *bucket = tt_gossip_accounts (board, account->account_id);
+  TtMemberAccount *record = bucket;
+
+  if (account->account_id == 0 || account->member_id == board->member.self->entry.id
+      || account->member_id == board->domain_id)
+    return;
+  for (uint32_t i = 0; i < TT_GOSSIP_ACCOUNT_WAYS; i++)
+    {
+      if (bucket[i].account_id == account->account_id && bucket[i].member_id == account->member_id)
+        {
+          record = &bucket[i];
+          if (!direct && now_us - record->heard_us < DIRECT_US)
+            return;
+          break;
+        }
+      if (bucket[i].heard_us < record->heard_us)
+        record = &bucket[i];
+    }
+  *record = (TtMemberAccount){ account->account_id, account->member_id, account->in_flight, now_us,
+                               direct };
+}
+
+/// Writes the sum of each client account's requests in flight over the daemons.
+static void
+sum_accounts (TtBoard *board, int64_t now_us)
+{
+  int64_t expiry_us = ACCOUNT_EXPIRY_US + ACCOUNT_EXPIRY_MEMBER_US * board->member.live_in_domain;
+
+  TT_LIST_FOREACH (&board->admit.accounts, it)
+    {
+      TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
+      const TtMemberAccount *bucket = tt_gossip_accounts (board, account->spec.id);
+
+      account->fleet_in_flight = account->in_flight;
+      for (uint32_t i = 0; i < TT_GOSSIP_ACCOUNT_WAYS; i++)
+        if (bucket[i].account_id == account->spec.id && now_us - bucket[i].heard_us <= expiry_us)
+          account->fleet_in_flight += bucket[i].in_flight;
+    }
+}
+
+static void
+take_load (TtBoard *board, const TtPeerLoad *load, uint64_t sender_id, int64_t now_us)
+{
+  TtBackendServer *backend = tt_backend_find (board, load->backend_id);
+  bool direct;
+
+  if (backend == NULL || backend->share.keeper_since_us != 0)
+    return;
+  direct = backend->share.keeper_id == sender_id;
+  if (!direct && backend->share.seen_us != 0 && now_us - backend->share.seen_us < DIRECT_US)
+    return;
+  backend->share.seen_load = load->load;
+  backend->share.seen_room = load->room;
+  backend->share.seen_us = now_us;
+  if (direct)
+    board->member.load_heard_us[backend - board->backends.backend_records] = now_us;
+}
+
+static void
+take_domain (TtBoard *board, const TtPeerDomain *domain, int64_t now_us)
+{
+  TtMemberSection *section = &board->member;
+  uint32_t d = 0;
+
+  while (d < section->domain_count && section->domains[d].domain_id != domain->domain_id)
+    d++;
+  if (d == TT_MAX_DOMAINS || domain->domain_id == board->domain_id)
+    return;
+  if (d == section->domain_count)
+    section->domain_count++;
+  section->domains[d] = (TtMemberDomain){ domain->domain_id, domain->generation, domain->epoch,
+                                          domain->members, now_us };
+}
+
+void
+tt_gossip_read (TtBoard *board, const TtPeerMessage *message, int64_t now_us)
+{
+  const TtPeerGossip *gossip = &message->gossip;
+  TtMemberSection *section = &board->member;
+
+  if (message->sender_id == section->self->entry.id)
+    return;
+  for (uint32_t i = 0; i < gossip->member_count && i < TT_PEER_MEMBERS; i++)
+    tt_member_merge (board, &gossip->members[i], now_us);
+  for (uint32_t i = 0; i < gossip->load_count && i < TT_PEER_LOADS; i++)
+    take_load (board, &gossip->loads[i], message->sender_id, now_us);
+  for (uint32_t i = 0; i < gossip->account_count && i < TT_PEER_ACCOUNTS; i++)
+    take_account (board, &gossip->accounts[i],
+                  gossip->accounts[i].member_id == message->sender_id || gossip->domain_count > 0,
+                  now_us);
+  for (uint32_t i = 0; i < gossip->leaving_count && i < TT_PEER_SLOTS; i++)
+    {
+      TtBackendServer *backend = tt_backend_find (board, gossip->leaving[i]);
+
+      if (backend != NULL)
+        tt_roster_leaving (board, backend, false, now_us);
+    }
+  for (uint32_t i = 0; i < gossip->domain_count && i < TT_PEER_DOMAINS; i++)
+    take_domain (board, &gossip->domains[i], now_us);
+  if (gossip->account_count > 0 && board->admit.accounts.count > 0)
+    sum_accounts (board, now_us);
+}
--- a/src/tarragontrack/control/lease.c
+++ b/src/tarragontrack/control/lease.c
@@ -1,8 +1,271 @@
+#include "tarragontrack/control/lease.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/hash.h"
 #include "tarragontrack/control/controllers.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// A holder that misses two renewals in a row keeps the lease.
+#define RENEW_PERIOD_US (TT_LEASE_DURATION_US / 4)
+#define CONTEND_PERIOD_US (4 * TT_SECOND_US)
+#define RETRY_PERIOD_US (500 * TT_MILLISECOND_US)
+/// The front end answers every call; a call without an answer for this long is given up.
+#define CALL_LIMIT_US (10 * TT_SECOND_US)
+
+static int
+open_leases (void *context, TtBoard *board)
+{
+  (void) context;
+  board->lease.leases = calloc (TT_MAX_LEASES, sizeof *board->lease.leases);
+  // A restarted daemon must not take its former holding for its own.
+  board->lease.holder_id
+      = tt_hash_pair (tt_hash_string (board->config.name), board->config.incarnation);
+  return board->lease.leases != NULL ? TT_OK : TT_E_NO_MEMORY;
+}
+
+static void
+close_leases (void *context, TtBoard *board)
+{
+  (void) context;
+  free (board->lease.leases);
+}
+
+TtLease *
+tt_lease_find (TtBoard *board, const char *role)
+{
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    if (strcmp (board->lease.leases[i].role, role) == 0)
+      return &board->lease.leases[i];
+  return NULL;
+}
+
+TtLease *
+tt_lease_want (TtBoard *board, const char *role, bool wanted)
+{
+  TtLeaseSection *section = &board->lease;
+  TtLease *lease = tt_lease_find (board, role);
+
+  if (lease != NULL)
+    {
+      lease->wanted = wanted;
+      return lease;
+    }
+  if (!wanted)
+    return NULL;
+  if (section->count == TT_MAX_LEASES)
+    {
+      tt_board_count (board, TT_COUNT_POOL_FULL, 1);
+      return NULL;
+    }
+  lease = &section->leases[section->count++];
+  (void) snprintf (lease->role, sizeof lease->role, "%s", role);
+  lease->wanted = true;
+  lease->duration_us = TT_LEASE_DURATION_US;
+  return lease;
+}
+
+bool
+tt_lease_held (const TtLease *lease, int64_t now_us)
+{
+  return lease != NULL && lease->held
+         && now_us < lease->renewed_us + lease->duration_us - TT_LEASE_MARGIN_US;
+}
+
+/// Starts a read of the lease's object.
+static void
+read_lease (TtBoard *board, TtLease *lease, int64_t now_us)
+{
+  char key[TT_KEY_MAX];
+
+  (void) snprintf (key, sizeof key, "leases/%s", lease->role);
+  lease->call = tt_board_call (board, TT_PLATFORM_GET, key, 0, NULL);
+  lease->call_type = TT_LEASE_CALL_READ;
+  lease->call_us = now_us;
+}
+
+/// Starts a conditional update that acquires, renews or releases the lease.
+static void
+write_lease (TtBoard *board, TtLease *lease, TtLeaseCall type, int64_t now_us)
+{
+  TtLeaseObject *object = &lease->object.lease;
+  char key[TT_KEY_MAX];
+
+  memset (&lease->object, 0, sizeof lease->object);
+  lease->object.type = TT_OBJECT_LEASE;
+  object->holder_id = board->lease.holder_id;
+  (void) snprintf (object->holder, sizeof object->holder, "%s", board->config.name);
+  object->duration_ms = (uint32_t) (lease->duration_us / TT_MILLISECOND_US);
+  object->released = type == TT_LEASE_CALL_RELEASE;
+  // A number is used by one holding only, also after a store was restored to an older version.
+  object->fencing = type == TT_LEASE_CALL_ACQUIRE ? lease->fencing + 1 : lease->fencing;
+  if (type != TT_LEASE_CALL_RELEASE)
+    {
+      lease->written = object->fencing;
+      lease->written_us = now_us;
+    }
+  (void) snprintf (key, sizeof key, "leases/%s", lease->role);
+  lease->call = tt_board_call (board, TT_PLATFORM_PUT, key, lease->version, &lease->object);
+  lease->call_type = type;
+  lease->call_us = now_us;
+}
+
+static void
+drop_lease (TtBoard *board, TtLease *lease, const char *reason)
+{
+  if (!lease->held)
+    return;
+  lease->held = false;
+  tt_board_count (board, TT_COUNT_LEASES_LOST, 1);
+  tt_board_log (board, TT_LOG_LEASE_LOST, "role=%s fencing=%llu reason=%s", lease->role,
+                (unsigned long long) lease->fencing, reason);
+}
+
+/// Notes that a write of this daemon took effect.
+static void
+confirm_write (TtBoard *board, TtLease *lease, uint64_t version, int64_t now_us)
+{
+  if (!lease->held || lease->written != lease->fencing)
+    {
+      lease->acquired_us = now_us;
+      tt_board_log (board, TT_LOG_LEASE_ACQUIRED, "role=%s fencing=%llu", lease->role,
+                    (unsigned long long) lease->written);
+    }
+  lease->held = true;
+  lease->fencing = lease->written;
+  lease->renewed_us = lease->written_us;
+  lease->holder_id = board->lease.holder_id;
+  lease->version = version;
+  lease->seen_us = now_us;
+  lease->seen_released = false;
+  lease->seen_duration = lease->duration_us;
+  lease->written = 0;
+  lease->next_try_us = lease->renewed_us + RENEW_PERIOD_US;
+}
+
+/// Takes in the object as read. @object is NULL if it does not exist.
+static void
+take_object (TtBoard *board, TtLease *lease, const TtLeaseObject *object, uint64_t version,
+             int64_t now_us)
+{
+  if (object != NULL && lease->written != 0 && object->fencing == lease->written
+      && object->holder_id == board->lease.holder_id && !object->released)
+    {
+      confirm_write (board, lease, version, now_us);
+      return;
+    }
+  if (object == NULL || object->holder_id != board->lease.holder_id || object->released)
+    drop_lease (board, lease, "another holder");
+  if (lease->seen_us == 0 || version != lease->version)
+    lease->seen_us = now_us;
+  lease->version = version;
+  lease->holder_id = object != NULL ? object->holder_id : 0;
+  lease->seen_released = object == NULL || object->released;
+  lease->seen_duration = object != NULL ? object->duration_ms * TT_MILLISECOND_US : 0;
+  if (object != NULL && object->fencing > lease->fencing)
+    lease->fencing = object->fencing;
+  lease->next_try_us = now_us + (lease->seen_released ? 0 : CONTEND_PERIOD_US / 2)
+                       + (int64_t) tt_rng_below (&board->rng, (uint64_t) CONTEND_PERIOD_US);
+  if (lease->seen_released && object == NULL)
+    lease->next_try_us = now_us;
+}
+
+/// Takes in the answer to the open call.
+static void
+take_answer (TtBoard *board, TtLease *lease, const TtPlatformEvent *answer, int64_t now_us)
+{
+  TtLeaseCall type = lease->call_type;
+
+  lease->call = 0;
+  lease->call_type = TT_LEASE_CALL_NONE;
+  lease->next_try_us = now_us + RETRY_PERIOD_US;
+  if (type == TT_LEASE_CALL_READ)
+    {
+      if (answer->code == TT_E_NOT_FOUND)
+        take_object (board, lease, NULL, 0, now_us);
+      else if (answer->code == TT_OK && answer->object != NULL
+               && answer->object->type == TT_OBJECT_LEASE)
+        take_object (board, lease, &answer->object->lease, answer->version, now_us);
+      return;
+    }
+  if (type == TT_LEASE_CALL_RELEASE)
+    {
+      // An unanswered release is not repeated: the lease expires by itself.
+      lease->version = answer->version;
+      lease->seen_us = 0;
+      return;
+    }
+  if (answer->code == TT_OK)
+    confirm_write (board, lease, answer->version, now_us);
+  else if (answer->code == TT_E_UNAVAILABLE)
+    lease->written = 0;
+  else
+    // Lost answer, or another version: reading back tells whose write took effect.
+    read_lease (board, lease, now_us);
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  (void) context;
+  if (event->type != TT_EVENT_PLATFORM)
+    return;
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    if (board->lease.leases[i].call != 0 && board->lease.leases[i].call == event->platform.call_id)
+      take_answer (board, &board->lease.leases[i], &event->platform, now_us);
+}
+
+/// True if the object last seen may be taken over.
+static bool
+is_free (const TtLease *lease, int64_t now_us)
+{
+  return lease->seen_us != 0
+         && (lease->seen_released
+             || now_us - lease->seen_us >= lease->seen_duration + TT_LEASE_MARGIN_US);
+}
+
+/// Next call of one lease, if it is time for one.
+static void
+advance (TtBoard *board, TtLease *lease, int64_t now_us)
+{
+  bool wanted = lease->wanted && board->drain.state < TT_DRAIN_CLOSING;
+
+  if (lease->held && !tt_lease_held (lease, now_us))
+    drop_lease (board, lease, "expired");
+  if (lease->call != 0 && now_us - lease->call_us >= CALL_LIMIT_US)
+    lease->call = 0;
+  if (lease->call != 0)
+    return;
+  if (!wanted)
+    {
+      if (!lease->held)
+        return;
+      lease->held = false;
+      write_lease (board, lease, TT_LEASE_CALL_RELEASE, now_us);
+      return;
+    }
+  if (now_us < lease->next_try_us)
+    return;
+  if (lease->held)
+    write_lease (board, lease, TT_LEASE_CALL_RENEW, now_us);
+  else if (is_free (lease, now_us))
+    write_lease (board, lease, TT_LEASE_CALL_ACQUIRE, now_us);
+  else
+    read_lease (board, lease, now_us);
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context;
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    advance (board, &board->lease.leases[i], now_us);
+}
 
 TtController
 tt_lease_controller (void)
 {
-  return (TtController){ .name = "lease" };
+  return (TtController){
+    .name = "lease", .open = open_leases, .close = close_leases, .on_event = on_event, .run = run
+  };
 }
--- a/src/tarragontrack/control/order.c
+++ b/src/tarragontrack/control/order.c
@@ -1,8 +1,332 @@
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/lease.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHECK_PERIOD_US (1 * TT_SECOND_US)
+/// An order is repeated until the engine's report shows the wanted role.
+#define REPEAT_US (5 * TT_SECOND_US)
+/// Longest time in which an order of a former holder may still reach an engine.
+#define DELIVERY_US (10 * TT_SECOND_US)
+/// The weight store allows one load of a model's weights in this time.
+#define LOAD_PERIOD_US (60 * TT_SECOND_US)
+/// An engine is put on standby only after this long without need for another one.
+#define IDLE_PERIOD_US (300 * TT_SECOND_US)
+/// Part of the serving engines' room in use from which one more is loaded, and below which one is
+/// put on standby. The wide gap keeps a swing of demand from moving weights back and forth.
+#define LOAD_ABOVE 0.85
+#define IDLE_BELOW 0.30
+#define ROLE_SERVE "serve"
+#define ROLE_STANDBY "standby"
+
+static int
+open_orders (void *context, TtBoard *board)
+{
+  (void) context;
+  board->order.models = calloc (TT_MAX_LEASES, sizeof *board->order.models);
+  return board->order.models != NULL ? TT_OK : TT_E_NO_MEMORY;
+}
+
+static void
+close_orders (void *context, TtBoard *board)
+{
+  (void) context;
+  free (board->order.models);
+}
+
+/// Record of a model; NULL if the bound is reached.
+static TtOrderModel *
+model_of (TtBoard *board, const char *name)
+{
+  TtOrderSection *section = &board->order;
+  TtOrderModel *model;
+
+  for (uint32_t i = 0; i < section->count; i++)
+    if (strcmp (section->models[i].model, name) == 0)
+      return &section->models[i];
+  if (section->count == TT_MAX_LEASES)
+    return NULL;
+  model = &section->models[section->count++];
+  memset (model, 0, sizeof *model);
+  (void) snprintf (model->model, sizeof model->model, "%s", name);
+  return model;
+}
+
+static bool
+same_role (const TtEngineRole *first, const TtEngineRole *second)
+{
+  return strcmp (first->model, second->model) == 0 && strcmp (first->adapter, second->adapter) == 0
+         && strcmp (first->version, second->version) == 0
+         && strcmp (first->role, second->role) == 0;
+}
+
+/// The wanted role of an engine; NULL if none was decided.
+static TtWantedRole *
+wanted_of (TtOrderModel *model, uint64_t backend_id)
+{
+  for (uint32_t i = 0; i < model->count; i++)
+    if (model->wanted[i].backend_id == backend_id)
+      return &model->wanted[i];
+  return NULL;
+}
+
+/// Decides a new role of an engine: the whole role it reports, with another part to play.
+static void
+want_role (TtOrderModel *model, const TtBackendServer *backend, const char *role)
+{
+  TtWantedRole *wanted = wanted_of (model, backend->id);
+
+  if (wanted == NULL && model->count == TT_ORDER_ENGINES)
+    return;
+  if (wanted == NULL)
+    wanted = &model->wanted[model->count++];
+  wanted->backend_id = backend->id;
+  wanted->role = backend->order.observed;
+  (void) snprintf (wanted->role.model, sizeof wanted->role.model, "%s", model->model);
+  (void) snprintf (wanted->role.role, sizeof wanted->role.role, "%s", role);
+  model->unwritten = true;
+}
+
+/// Compares demand with the engines that serve, and changes one engine at a time.
+static void
+decide (TtBoard *board, TtPool *pool, TtOrderModel *model, int64_t now_us)
+{
+  uint32_t replicas = pool->spec.min_replicas > 0 ? pool->spec.min_replicas : 1;
+  TtBackendServer *standby = NULL;
+  TtBackendServer *idle = NULL;
+  uint32_t serving = 0;
+  uint32_t loaded = 0;
+  double room = 0.0;
+  double load = pool->admit.queued;
+
+  (void) board;
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+      const TtWantedRole *wanted = wanted_of (model, backend->id);
+      const char *role = wanted != NULL ? wanted->role.role : backend->order.observed.role;
+
+      if (backend->roster.state != TT_BACKEND_LIVE || backend->order.observed_us == 0)
+        continue;
+      if (strcmp (role, ROLE_STANDBY) == 0)
+        {
+          if (standby == NULL || backend->weight > standby->weight)
+            standby = backend;
+          continue;
+        }
+      serving++;
+      // Only what an engine reports is loaded; an order that is on its way is no copy.
+      if (strcmp (backend->order.observed.role, ROLE_STANDBY) != 0)
+        {
+          loaded++;
+          if (idle == NULL || backend->reported_running < idle->reported_running)
+            idle = backend;
+        }
+      room += backend->batch_limit;
+      load += backend->reported_running + backend->reported_waiting;
+    }
+  if (load > LOAD_ABOVE * room || serving < replicas)
+    {
+      model->next_idle_us = now_us + IDLE_PERIOD_US;
+      if (standby == NULL || now_us < model->next_load_us)
+        return;
+      model->next_load_us = now_us + LOAD_PERIOD_US;
+      want_role (model, standby, ROLE_SERVE);
+    }
+  else if (load >= IDLE_BELOW * room)
+    model->next_idle_us = now_us + IDLE_PERIOD_US;
+  else if (now_us >= model->next_idle_us && idle != NULL && loaded > replicas && serving > replicas)
+    {
+      model->next_idle_us = now_us + IDLE_PERIOD_US;
+      want_role (model, idle, ROLE_STANDBY);
+    }
+}
+
+/// Sends the orders whose effect no report shows yet.
+static void
+send_orders (TtBoard *board, TtPool *pool, TtOrderModel *model, const TtLease *lease,
+             int64_t now_us)
+{
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+      TtOrderBackend *order = &backend->order;
+      const TtWantedRole *wanted = wanted_of (model, backend->id);
+      TtAction *action;
+
+      if (wanted == NULL)
+        continue;
+      order->wanted = wanted->role;
+      order->pending = !same_role (&order->wanted, &order->observed);
+      if (!order->pending || (order->ordered_us != 0 && now_us - order->ordered_us < REPEAT_US))
+        continue;
+      // An engine that ignores numbers would obey a late order of the former holder.
+      if (!backend->fencing
+          && now_us - lease->acquired_us < lease->duration_us + TT_LEASE_MARGIN_US + DELIVERY_US)
+        continue;
+      action = tt_board_act (board, TT_ACTION_ORDER);
+      if (action == NULL)
+        return;
+      action->order = (TtOrderAction){ .backend_id = backend->id,
+                                       .fencing = lease->fencing,
+                                       .role = order->wanted };
+      order->ordered_us = now_us;
+      tt_board_count (board, TT_COUNT_ORDERS, 1);
+      tt_board_log (board, TT_LOG_ORDER_SENT, "backend=%s role=%s fencing=%llu", backend->name,
+                    order->wanted.role, (unsigned long long) lease->fencing);
+    }
+}
+
+/// Reads or writes the object orders/MODEL.
+static void
+call_object (TtBoard *board, TtOrderModel *model, bool write, uint64_t fencing)
+{
+  char key[TT_KEY_MAX];
+
+  (void) snprintf (key, sizeof key, "orders/%s", model->model);
+  model->call_is_write = write;
+  model->object.type = TT_OBJECT_ORDERS;
+  model->object.orders
+      = (TtOrdersObject){ .fencing = fencing, .wanted = model->wanted, .count = model->count };
+  model->call = tt_board_call (board, write ? TT_PLATFORM_PUT : TT_PLATFORM_GET, key,
+                               write ? model->version : 0, write ? &model->object : NULL);
+}
+
+/// Acts as order giver of one model while the lease is held.
+static void
+give_orders (TtBoard *board, TtPool *pool, int64_t now_us)
+{
+  TtOrderModel *model = model_of (board, pool->spec.name);
+  char role[TT_NAME_MAX + 8];
+  const TtLease *lease;
+  bool reports = false;
+
+  if (model == NULL)
+    return;
+  TT_LIST_FOREACH (&pool->backends, it)
+    {
+      if (TT_CONTAINER_OF (it, TtBackendServer, pool_link)->order.observed_us != 0)
+        reports = true;
+    }
+  // A lease's role is cut to the length of a name; a longer model name gets no orders.
+  if ((size_t) snprintf (role, sizeof role, "order-%s", pool->spec.name) >= TT_NAME_MAX)
+    return;
+  lease = tt_lease_want (board, role, reports && board->member.rank == 0);
+  if (!tt_lease_held (lease, now_us))
+    {
+      model->known = false;
+      model->call = 0;
+      return;
+    }
+  if (model->fencing != lease->fencing)
+    {
+      model->fencing = lease->fencing;
+      model->known = false;
+      model->call = 0;
+      model->next_idle_us = now_us + IDLE_PERIOD_US;
+    }
+  if (model->call != 0)
+    return;
+  if (!model->known)
+    {
+      call_object (board, model, false, 0);
+      return;
+    }
+  if (!model->unwritten)
+    decide (board, pool, model, now_us);
+  if (model->unwritten)
+    call_object (board, model, true, lease->fencing);
+  else
+    send_orders (board, pool, model, lease, now_us);
+}
+
+/// Takes in the answer to a call for orders/MODEL.
+static void
+take_answer (TtOrderModel *model, const TtPlatformEvent *answer)
+{
+  model->call = 0;
+  if (model->call_is_write)
+    {
+      // After a conflict or a lost answer the object is read again: what it holds is wanted.
+      model->known = answer->code == TT_OK;
+      model->unwritten = false;
+      model->version = answer->version;
+      return;
+    }
+  if (answer->code != TT_OK && answer->code != TT_E_NOT_FOUND)
+    return;
+  model->known = true;
+  model->unwritten = false;
+  model->version = answer->code == TT_OK ? answer->version : 0;
+  model->count = 0;
+  if (answer->object == NULL || answer->object->type != TT_OBJECT_ORDERS)
+    return;
+  for (uint32_t i = 0; i < answer->object->orders.count && i < TT_ORDER_ENGINES; i++)
+    model->wanted[model->count++] = answer->object->orders.wanted[i];
+}
+
+/// Takes in the role that an engine reports.
+static void
+take_report (TtBoard *board, const TtLoadEvent *load, int64_t now_us)
+{
+  TtBackendServer *backend = tt_backend_find (board, load->backend_id);
+
+  if (backend == NULL)
+    return;
+  backend->order.observed = load->role;
+  if (load->role.role[0] != '\0')
+    backend->order.observed_us = now_us;
+  if (backend->order.pending && same_role (&backend->order.wanted, &load->role))
+    {
+      backend->order.pending = false;
+      tt_board_log (board, TT_LOG_ORDER_CONFIRMED, "backend=%s role=%s", backend->name,
+                    load->role.role);
+    }
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  (void) context;
+  if (event->type == TT_EVENT_LOAD_REPORT)
+    take_report (board, &event->load, now_us);
+  else if (event->type == TT_EVENT_ORDER_ANSWER && event->order.refused)
+    {
+      tt_board_count (board, TT_COUNT_ORDERS_REFUSED, 1);
+      tt_board_log (board, TT_LOG_ORDER_REFUSED, "backend=%llx fencing=%llu",
+                    (unsigned long long) event->order.backend_id,
+                    (unsigned long long) event->order.fencing);
+    }
+  else if (event->type == TT_EVENT_PLATFORM)
+    for (uint32_t i = 0; i < board->order.count; i++)
+      if (board->order.models[i].call != 0
+          && board->order.models[i].call == event->platform.call_id)
+        take_answer (&board->order.models[i], &event->platform);
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context;
+  if (now_us < board->order.next_check_us)
+    return;
+  board->order.next_check_us = now_us + CHECK_PERIOD_US;
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+
+      if (pool->spec.type == TT_SERVICE_MODEL && pool->team_id != 0)
+        give_orders (board, pool, now_us);
+    }
+}
 
 TtController
 tt_order_controller (void)
 {
-  return (TtController){ .name = "order" };
+  return (TtController){
+    .name = "order", .open = open_orders, .close = close_orders, .on_event = on_event, .run = run
+  };
 }
--- a/src/tarragontrack/control/roster.c
+++ b/src/tarragontrack/control/roster.c
@@ -1,3 +1,4 @@
+#include "tarragontrack/control/roster.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/hash.h"
@@ -6,7 +7,23 @@
 #include <stdlib.h>
 #include <string.h>
 
+/// Shortest period between two reads of the own failure domain's list.
 #define POLL_PERIOD_US (2 * TT_SECOND_US)
+/// Daemons of a failure domain that read the list every POLL_PERIOD_US; more of them read less
+/// often each, because gossip carries "leaving" between them.
+#define POLL_MEMBERS 4
+#define POLL_PERIOD_MAX_US (8 * TT_SECOND_US)
+#define FLEET_PERIOD_US (30 * TT_SECOND_US)
+/// A host that a list lacks is kept for this long after it was last listed or active.
+#define MISSING_US (10 * TT_SECOND_US)
+/// A stale list cannot undo "leaving" for this long.
+#define LEAVING_HOLD_US (60 * TT_SECOND_US)
+/// Period of the look at all backend servers; each costs time in every step otherwise.
+#define AGE_PERIOD_US (200 * TT_MILLISECOND_US)
+#define DAMP_BASE_US (5 * TT_SECOND_US)
+#define DAMP_LIMIT_US (600 * TT_SECOND_US)
+/// Flaps are forgotten after this long without one.
+#define DAMP_WINDOW_US (600 * TT_SECOND_US)
 
 /// Allocates the records of backend servers and pools.
 static int
@@ -50,10 +67,16 @@
     }
 }
 
-/// Makes or updates the pool of each service in the documents in force.
+/// Makes or updates the pool of each service in the documents in force. A pool whose service is in
+/// no document any more gets the team 0. Of two teams with one service the lower id has it, so that
+/// all daemons agree.
 static void
 update_pools (TtBoard *board)
 {
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TT_CONTAINER_OF (it, TtPool, link)->team_id = 0;
+    }
   for (uint32_t i = 0; i < board->configuration.slot_count; i++)
     {
       const TtDocument *document = board->configuration.slots[i].document;
@@ -64,7 +87,7 @@
 
           if (pool == NULL)
             pool = tt_pool_new (board, document->services[s].id);
-          if (pool == NULL)
+          if (pool == NULL || (pool->team_id != 0 && pool->team_id < document->team_id))
             continue;
           pool->spec = document->services[s];
           pool->team_id = document->team_id;
@@ -73,52 +96,267 @@
   attach_backends (board);
 }
 
-/// Enters one backend server of the host list, or updates it.
+static void
+set_state (TtBoard *board, TtBackendServer *backend, TtBackendState state, int64_t now_us)
+{
+  static const TtLogEvent events[]
+      = { TT_LOG_BACKEND_LIVE, TT_LOG_BACKEND_DAMPED, TT_LOG_BACKEND_LEAVING, TT_LOG_BACKEND_GONE };
+
+  if (backend->roster.state == state)
+    return;
+  backend->roster.state = state;
+  backend->roster.changed_us = now_us;
+  board->dirty = true;
+  tt_board_log (board, events[state], "backend=%s flaps=%u", backend->name, backend->roster.flaps);
+}
+
+/// Brings back a backend server that was gone or leaving; it is damped first.
+static void
+return_backend (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtRosterBackend *roster = &backend->roster;
+  int64_t damping = DAMP_BASE_US;
+
+  if (now_us - roster->flapped_us > DAMP_WINDOW_US)
+    roster->flaps = 0;
+  for (uint32_t i = 0; i < roster->flaps && damping < DAMP_LIMIT_US; i++)
+    damping *= 2;
+  roster->flaps++;
+  roster->flapped_us = now_us;
+  roster->hold_until_us = now_us + (damping < DAMP_LIMIT_US ? damping : DAMP_LIMIT_US);
+  set_state (board, backend, TT_BACKEND_DAMPED, now_us);
+}
+
+void
+tt_roster_leaving (TtBoard *board, TtBackendServer *backend, bool by_list, int64_t now_us)
+{
+  TtRosterBackend *roster = &backend->roster;
+
+  if (roster->state == TT_BACKEND_GONE)
+    return;
+  // Gossip does not prolong a hold, or daemons would keep each other's alive for ever.
+  if (by_list || roster->state != TT_BACKEND_LEAVING)
+    roster->hold_until_us = now_us + LEAVING_HOLD_US;
+  set_state (board, backend, TT_BACKEND_LEAVING, now_us);
+}
+
+/// Finds a record for a backend server that no list had; replaces one that is long gone if needed.
+static TtBackendServer *
+new_backend (TtBoard *board, const TtHostEntry *host, uint64_t id, int64_t now_us)
+{
+  TtBackendServer *backend;
+  TtBackendServer *oldest = NULL;
+
+  if (board->backends.free_backends.count == 0)
+    {
+      TT_LIST_FOREACH (&board->backends.all, it)
+        {
+          TtBackendServer *other = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+          if (other->roster.state == TT_BACKEND_GONE && other->attempts.count == 0
+              && (oldest == NULL || other->roster.changed_us < oldest->roster.changed_us))
+            oldest = other;
+        }
+      if (oldest != NULL)
+        tt_backend_free (board, oldest);
+    }
+  backend = tt_backend_new (board, id);
+  if (backend == NULL)
+    return NULL;
+  (void) snprintf (backend->name, sizeof backend->name, "%s", host->name);
+  backend->roster.changed_us = now_us;
+  backend->roster.flapped_us = now_us;
+  tt_board_log (board, TT_LOG_BACKEND_LIVE, "backend=%s domain=%s", host->name, host->domain);
+  return backend;
+}
+
+/// Enters one backend server of a host list, or updates it.
 static void
 update_backend (TtBoard *board, const TtHostEntry *host, int64_t now_us)
 {
   uint64_t id = tt_hash_string (host->name);
+  uint64_t service_id = tt_hash_string (host->service);
   TtBackendServer *backend = tt_backend_find (board, id);
 
   if (backend == NULL)
+    backend = new_backend (board, host, id, now_us);
+  if (backend == NULL)
+    return;
+  if (backend->service_id != service_id && backend->pool != NULL)
     {
-      backend = tt_backend_new (board, id);
-      if (backend == NULL)
-        return;
-      (void) snprintf (backend->name, sizeof backend->name, "%s", host->name);
-      backend->roster.changed_us = now_us;
-      tt_board_log (board, TT_LOG_BACKEND_LIVE, "backend=%s domain=%s", host->name, host->domain);
+      tt_list_remove (&backend->pool->backends, &backend->pool_link);
+      backend->pool = NULL;
     }
   (void) snprintf (backend->address, sizeof backend->address, "%s", host->address);
   backend->port = host->port;
   backend->domain_id = tt_hash_string (host->domain);
-  backend->service_id = tt_hash_string (host->service);
+  backend->service_id = service_id;
   backend->weight = host->weight;
   backend->batch_limit = host->batch_limit;
   backend->fencing = host->fencing;
-  backend->roster.state = host->leaving ? TT_BACKEND_LEAVING : TT_BACKEND_LIVE;
+  backend->roster.missing_us = 0;
+  backend->roster.told_by_list = host->leaving;
+  if (host->leaving)
+    tt_roster_leaving (board, backend, true, now_us);
 }
 
+/// Counts the entry hosts of each failure domain on the list of the whole fleet.
 static void
-on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+update_domains (TtBoard *board, const TtHostsObject *list)
 {
   TtRosterSection *section = &board->roster;
 
-  (void) context;
-  if (event->type == TT_EVENT_TICK && now_us >= section->next_poll_us)
+  for (uint32_t i = 0; i < section->domain_count; i++)
+    section->domains[i].entry_hosts = 0;
+  for (uint32_t i = 0; i < list->count; i++)
+    {
+      const TtHostEntry *host = &list->hosts[i];
+      uint64_t id = tt_hash_string (host->domain);
+      uint32_t d = 0;
+
+      if (!host->entry_host || host->leaving)
+        continue;
+      while (d < section->domain_count && section->domains[d].id != id)
+        d++;
+      if (d == TT_MAX_DOMAINS)
+        {
+          tt_board_count (board, TT_COUNT_POOL_FULL, 1);
+          continue;
+        }
+      if (d == section->domain_count)
+        {
+          section->domains[section->domain_count++].id = id;
+          (void) snprintf (section->domains[d].name, TT_NAME_MAX, "%s", host->domain);
+        }
+      section->domains[d].entry_hosts++;
+    }
+}
+
+/// Takes in a host list of the own failure domain or of the whole fleet.
+static void
+take_list (TtBoard *board, const TtHostsObject *list, bool fleet, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+      if (backend->roster.missing_us == 0 && (fleet || backend->domain_id == board->domain_id))
+        backend->roster.missing_us = now_us;
+    }
+  for (uint32_t i = 0; i < list->count; i++)
+    if (!list->hosts[i].entry_host)
+      update_backend (board, &list->hosts[i], now_us);
+  if (fleet)
+    update_domains (board, list);
+  attach_backends (board);
+}
+
+/// Ends holds and damping, and drops backend servers that stay missing.
+static void
+age_backends (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+      TtRosterBackend *roster = &backend->roster;
+
+      // The list that lets it return may have come during the hold and may not come again.
+      if ((roster->state == TT_BACKEND_LEAVING || roster->state == TT_BACKEND_GONE)
+          && !roster->told_by_list && roster->missing_us == 0 && now_us >= roster->hold_until_us)
+        return_backend (board, backend, now_us);
+      if (roster->state == TT_BACKEND_DAMPED && now_us >= roster->hold_until_us)
+        set_state (board, backend, TT_BACKEND_LIVE, now_us);
+      // What still answers exists, whatever a stale list says.
+      if (roster->missing_us != 0 && roster->state != TT_BACKEND_GONE
+          && now_us - roster->missing_us >= MISSING_US
+          && (roster->active_us == 0 || now_us - roster->active_us >= MISSING_US))
+        set_state (board, backend, TT_BACKEND_GONE, now_us);
+      if (roster->state == TT_BACKEND_GONE && backend->attempts.count == 0
+          && now_us - roster->changed_us >= DAMP_WINDOW_US)
+        tt_backend_free (board, backend);
+    }
+}
+
+/// Reads the lists when it is time: the own failure domain's often, the fleet's rarely.
+static void
+poll_lists (TtBoard *board, int64_t now_us)
+{
+  TtRosterSection *section = &board->roster;
+
+  if (now_us >= section->next_poll_us)
     {
-      section->next_poll_us = now_us + POLL_PERIOD_US;
+      int64_t period = POLL_PERIOD_US;
+
+      if (board->member.live_in_domain > POLL_MEMBERS)
+        period = POLL_PERIOD_US * board->member.live_in_domain / POLL_MEMBERS;
+      if (period > POLL_PERIOD_MAX_US)
+        period = POLL_PERIOD_MAX_US;
+      section->next_poll_us
+          = now_us + period * 3 / 4 + (int64_t) tt_rng_below (&board->rng, (uint64_t) period / 2);
       section->poll_call = tt_board_call (board, TT_PLATFORM_HOSTS, board->config.domain,
                                           section->hosts_version, NULL);
     }
-  if (event->type != TT_EVENT_PLATFORM || event->platform.call_id != section->poll_call
-      || event->platform.object == NULL)
+  if (now_us >= section->next_fleet_us)
+    {
+      section->next_fleet_us
+          = now_us + FLEET_PERIOD_US * 3 / 4
+            + (int64_t) tt_rng_below (&board->rng, (uint64_t) FLEET_PERIOD_US / 2);
+      section->fleet_call
+          = tt_board_call (board, TT_PLATFORM_HOSTS, "", section->fleet_version, NULL);
+    }
+}
+
+/// Takes in the answer to a call for a host list.
+static void
+take_answer (TtBoard *board, const TtPlatformEvent *answer, int64_t now_us)
+{
+  TtRosterSection *section = &board->roster;
+  bool fleet = answer->call_id == section->fleet_call;
+
+  if (!fleet && answer->call_id != section->poll_call)
     return;
-  section->hosts_version = event->platform.version;
-  for (uint32_t i = 0; i < event->platform.object->hosts.count; i++)
-    if (!event->platform.object->hosts.hosts[i].entry_host)
-      update_backend (board, &event->platform.object->hosts.hosts[i], now_us);
-  attach_backends (board);
+  if (answer->object != NULL)
+    {
+      if (fleet)
+        section->fleet_version = answer->version;
+      else
+        section->hosts_version = answer->version;
+      take_list (board, &answer->object->hosts, fleet, now_us);
+      return;
+    }
+  // The unchanged list says again what it said before.
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+      if (backend->roster.told_by_list && backend->roster.state == TT_BACKEND_LEAVING)
+        backend->roster.hold_until_us = now_us + LEAVING_HOLD_US;
+    }
+}
+
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  const TtPlatformEvent *answer = &event->platform;
+  TtBackendServer *backend = NULL;
+
+  (void) context;
+  if (event->type == TT_EVENT_TICK)
+    {
+      if (now_us >= board->roster.next_age_us)
+        {
+          board->roster.next_age_us = now_us + AGE_PERIOD_US;
+          age_backends (board, now_us);
+        }
+      poll_lists (board, now_us);
+    }
+  else if (event->type == TT_EVENT_LOAD_REPORT)
+    backend = tt_backend_find (board, event->load.backend_id);
+  else if (event->type == TT_EVENT_PLATFORM && answer->op == TT_PLATFORM_HOSTS
+           && answer->code == TT_OK)
+    take_answer (board, answer, now_us);
+  if (backend != NULL)
+    backend->roster.active_us = now_us;
 }
 
 static void
--- /dev/null
+++ b/test/control/member_test.c
@@ -0,0 +1,192 @@
+#include "support/sim.h"
+#include "support/unit.h"
+#include "support/world.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/member.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static Sim *
+start_fleet (uint64_t seed, unsigned count)
+{
+  Sim *sim = sim_new (seed);
+
+  (void) sim_apply (sim, "demo", TT_DETACHED_WAIT, true);
+  for (unsigned i = 0; i < count; i++)
+    {
+      char name[TT_NAME_MAX];
+
+      (void) snprintf (name, sizeof name, "router-%u", i);
+      (void) sim_add (sim, name, "alpha");
+    }
+  sim_run (sim, sim->now_us + 20 * TT_SECOND_US);
+  return sim;
+}
+
+static TtMemberState
+state_at (Sim *sim, unsigned at, unsigned of)
+{
+  const TtMember *member
+      = tt_member_find (sim->nodes[at].board, tt_hash_string (sim->nodes[of].name));
+
+  return member != NULL ? member->entry.state : TT_MEMBER_GONE;
+}
+
+/// Guards against live daemons that are taken for gone because messages are lost, doubled or late.
+static void
+bad_network (void)
+{
+  Sim *sim = start_fleet (1, 12);
+
+  sim->loss = 0.3;
+  sim->repeat = 0.3;
+  for (unsigned step = 0; step < 300; step++)
+    {
+      sim_run (sim, sim->now_us + TT_SECOND_US / 5);
+      for (unsigned i = 0; i < 12; i++)
+        CU_ASSERT_EQUAL (sim->nodes[i].board->member.live_in_domain, 12);
+    }
+  sim_free (sim);
+}
+
+/// Guards against a dead daemon that stays a member because gossip repeats its old entry, and
+/// against a restarted one that stays dead.
+static void
+death_and_return (void)
+{
+  Sim *sim = start_fleet (2, 6);
+
+  sim_stop (&sim->nodes[0]);
+  sim_run (sim, sim->now_us + 8 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (state_at (sim, 1, 0), TT_MEMBER_SUSPECT);
+  sim_run (sim, sim->now_us + 15 * TT_SECOND_US);
+  for (unsigned i = 1; i < 6; i++)
+    CU_ASSERT_EQUAL (state_at (sim, i, 0), TT_MEMBER_GONE);
+  sim_run (sim, sim->now_us + 200 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (sim->nodes[1].board->member.live_in_domain, 5);
+  sim_start (sim, &sim->nodes[0]);
+  sim_run (sim, sim->now_us + 6 * TT_SECOND_US);
+  for (unsigned i = 1; i < 6; i++)
+    CU_ASSERT_EQUAL (state_at (sim, i, 0), TT_MEMBER_ALIVE);
+  sim_free (sim);
+}
+
+/// Guards against a paused daemon that cannot refute the suspicion.
+static void
+refutation (void)
+{
+  Sim *sim = start_fleet (3, 6);
+  uint64_t before = sim->nodes[0].board->member.self->entry.incarnation;
+
+  sim->nodes[0].paused_until_us = sim->now_us + 8 * TT_SECOND_US;
+  sim_run (sim, sim->now_us + 7 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (state_at (sim, 1, 0), TT_MEMBER_SUSPECT);
+  sim_run (sim, sim->now_us + 6 * TT_SECOND_US);
+  CU_ASSERT_EQUAL (state_at (sim, 1, 0), TT_MEMBER_ALIVE);
+  CU_ASSERT (sim->nodes[0].board->member.self->entry.incarnation > before);
+  sim_free (sim);
+}
+
+/// Guards against borrowers that wait for a daemon that has shut down in order.
+static void
+leave (void)
+{
+  Sim *sim = start_fleet (4, 6);
+  TtEvent drain = { .type = TT_EVENT_DRAIN };
+
+  tt_board_step (sim->nodes[0].board, &drain, sim->now_us);
+  sim_run (sim, sim->now_us + TT_SECOND_US / 2);
+  for (unsigned i = 1; i < 6; i++)
+    CU_ASSERT_EQUAL (state_at (sim, i, 0), TT_MEMBER_LEAVING);
+  sim_free (sim);
+}
+
+/// Guards against a table that grows without bound, or that no longer takes in live daemons, when
+/// many daemons come and go.
+static void
+bounded_table (void)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+  TtEvent tick = { .type = TT_EVENT_TICK };
+  int64_t now_us = TT_SECOND_US;
+  TtMemberEntry entry = { .domain_id = board->domain_id, .heartbeat = 1, .incarnation = 1 };
+
+  for (uint64_t i = 0; i < 4L * TT_MAX_MEMBERS; i++)
+    {
+      entry.id = 1000 + i;
+      now_us += TT_SECOND_US / 10;
+      tt_member_merge (board, &entry, now_us);
+      if (i % 10 == 0)
+        tt_board_step (board, &tick, now_us);
+      CU_ASSERT_PTR_NOT_NULL (tt_member_find (board, entry.id));
+    }
+  CU_ASSERT (board->member.all.count <= TT_MAX_MEMBERS);
+  tt_board_free (board);
+}
+
+/// Guards against control traffic that grows with the fleet beyond 11 KB/s per daemon.
+static void
+bounded_bytes (void)
+{
+  Sim *sim = start_fleet (5, 60);
+  uint64_t most = 0;
+
+  for (unsigned i = 0; i < 60; i++)
+    sim->nodes[i].sent_bytes = sim->nodes[i].received_bytes = 0;
+  sim_run (sim, sim->now_us + 60 * TT_SECOND_US);
+  for (unsigned i = 0; i < 60; i++)
+    if (sim->nodes[i].sent_bytes + sim->nodes[i].received_bytes > most)
+      most = sim->nodes[i].sent_bytes + sim->nodes[i].received_bytes;
+  CU_ASSERT (most / 60 < 11000);
+  sim_free (sim);
+}
+
+/// Guards against a load bound computed without the engines that other daemons keep, and against
+/// loads that a passed-on, older value replaces.
+static void
+loads (void)
+{
+  Sim *sim = sim_new (6);
+  TtBoard *boards[3];
+  TtBackendServer *kept;
+
+  (void) sim_apply (sim, "demo", TT_DETACHED_WAIT, true);
+  sim_add_engines (sim, 2, "demo", "alpha");
+  for (unsigned i = 0; i < 3; i++)
+    {
+      char name[TT_NAME_MAX];
+
+      (void) snprintf (name, sizeof name, "router-%u", i);
+      boards[i] = sim_add (sim, name, "alpha")->board;
+    }
+  sim_run (sim, sim->now_us + 10 * TT_SECOND_US);
+  kept = tt_backend_find (boards[0], tt_hash_string ("demo-alpha-0"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept);
+  if (kept == NULL)
+    return;
+  kept->share.keeper_since_us = sim->now_us;
+  kept->share.room = 17;
+  sim_run (sim, sim->now_us + 3 * TT_SECOND_US);
+  for (unsigned i = 1; i < 3; i++)
+    {
+      const TtBackendServer *seen = tt_backend_find (boards[i], kept->id);
+
+      CU_ASSERT_EQUAL (seen->share.seen_room, 17);
+      CU_ASSERT (sim->now_us - seen->share.seen_us < 3 * TT_SECOND_US);
+    }
+  sim_free (sim);
+}
+
+static const UnitTest tests[] = {
+  { "loss, repetition and reordering lose no member", bad_network },
+  { "a dead daemon goes, a restarted one returns", death_and_return },
+  { "a suspected daemon raises its incarnation", refutation },
+  { "a daemon that leaves is known to leave", leave },
+  { "the table is bounded and takes in live daemons", bounded_table },
+  { "bytes per daemon are bounded", bounded_bytes },
+  { "loads reach the other daemons", loads },
+};
+
+UNIT_MAIN ("member", tests)
--- /dev/null
+++ b/test/control/order_test.c
@@ -0,0 +1,155 @@
+#include "support/sim.h"
+#include "support/unit.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/lease.h"
+#include <stdio.h>
+#include <string.h>
+
+/// Two daemons in two failure domains, and engines of one model in one of them; the last engine is
+/// on standby.
+static Sim *
+start_fleet (uint64_t seed, bool numbers)
+{
+  Sim *sim = sim_new (seed);
+
+  (void) sim_apply (sim, "demo", TT_DETACHED_WAIT, true);
+  sim_add_engines (sim, 3, "demo", "alpha");
+  for (unsigned i = 0; i < sim->host_count; i++)
+    sim->hosts[i].fencing = numbers;
+  (void) sim_add (sim, "router-a", "alpha");
+  (void) sim_add (sim, "router-b", "beta");
+  sim_run (sim, sim->now_us + 10 * TT_SECOND_US);
+  return sim;
+}
+
+/// Engines report to both daemons. The standby engine keeps its role, whatever it is ordered.
+static void
+report (Sim *sim, uint32_t running, unsigned serving)
+{
+  for (unsigned node = 0; node < sim->node_count; node++)
+    for (unsigned i = 0; i < 3; i++)
+      {
+        char name[TT_NAME_MAX];
+        TtEvent event = { .type = TT_EVENT_LOAD_REPORT };
+        TtBackendServer *backend;
+
+        (void) snprintf (name, sizeof name, "demo-alpha-%u", i);
+        event.load.backend_id = tt_hash_string (name);
+        backend = tt_backend_find (sim->nodes[node].board, event.load.backend_id);
+        if (backend == NULL || sim->now_us < sim->nodes[node].paused_until_us)
+          continue;
+        event.load.running = running;
+        backend->reported_running = running;
+        (void) snprintf (event.load.role.model, TT_NAME_MAX, "demo");
+        (void) snprintf (event.load.role.role, TT_NAME_MAX, "%s",
+                         i < serving ? "serve" : "standby");
+        tt_board_step (sim->nodes[node].board, &event, sim->now_us);
+      }
+}
+
+/// Runs with reports every second.
+static void
+run_engines (Sim *sim, int64_t seconds, uint32_t running, unsigned serving)
+{
+  for (int64_t i = 0; i < seconds; i++)
+    {
+      report (sim, running, serving);
+      sim_run (sim, sim->now_us + TT_SECOND_US);
+    }
+}
+
+static unsigned
+holder_of (Sim *sim)
+{
+  return tt_lease_held (tt_lease_find (sim->nodes[0].board, "order-demo"), sim->now_us) ? 0 : 1;
+}
+
+/// Guards against an order that is lost: it is repeated until the report shows the role.
+static void
+repeat_until_shown (void)
+{
+  Sim *sim = start_fleet (1, true);
+  uint64_t sent;
+
+  run_engines (sim, 40, 32, 2);
+  CU_ASSERT (sim->dispatched >= 3);
+  CU_ASSERT_STRING_EQUAL (sim->order_role, "serve");
+  CU_ASSERT_PTR_NOT_NULL (sim_object (sim, "orders/demo"));
+  run_engines (sim, 2, 20, 3);
+  sent = sim->dispatched;
+  run_engines (sim, 30, 20, 3);
+  CU_ASSERT_EQUAL (sim->dispatched, sent);
+  sim_free (sim);
+}
+
+/// Guards against orders of a holder that was paused beyond its lease, and against a successor that
+/// reuses its number.
+static void
+old_number (void)
+{
+  Sim *sim = start_fleet (2, true);
+  unsigned holder;
+
+  run_engines (sim, 15, 32, 2);
+  CU_ASSERT_EQUAL (sim->order_fencing, 1);
+  holder = holder_of (sim);
+  sim->nodes[holder].paused_until_us = sim->now_us + 60 * TT_SECOND_US;
+  run_engines (sim, 59, 32, 2);
+  CU_ASSERT_EQUAL (sim->order_fencing, 2);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      run_engines (sim, 1, 32, 2);
+      CU_ASSERT_EQUAL (sim->order_fencing, 2);
+    }
+  sim_free (sim);
+}
+
+/// Guards against a late order of the former holder that an engine without numbers obeys after the
+/// new holder's order: the new holder waits first.
+static void
+engine_without_numbers (void)
+{
+  Sim *sim = start_fleet (3, false);
+  const TtLease *lease;
+
+  run_engines (sim, 12, 32, 2);
+  lease = tt_lease_find (sim->nodes[holder_of (sim)].board, "order-demo");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (lease);
+  if (lease == NULL)
+    return;
+  CU_ASSERT_EQUAL (sim->dispatched, 0);
+  run_engines (sim, 30, 32, 2);
+  CU_ASSERT (sim->dispatched > 0);
+  CU_ASSERT (sim->order_us - lease->acquired_us >= 20 * TT_SECOND_US);
+  sim_free (sim);
+}
+
+/// Guards against unloading the last copies of a model, and against unloading during a short pause
+/// of demand.
+static void
+last_copy (void)
+{
+  Sim *sim = start_fleet (4, true);
+
+  run_engines (sim, 200, 0, 1);
+  CU_ASSERT_EQUAL (sim->dispatched, 0);
+  run_engines (sim, 800, 0, 1);
+  CU_ASSERT_EQUAL (sim->dispatched, 0);
+  sim_free (sim);
+  sim = start_fleet (5, true);
+  run_engines (sim, 250, 0, 3);
+  CU_ASSERT_EQUAL (sim->dispatched, 0);
+  run_engines (sim, 120, 0, 3);
+  CU_ASSERT_STRING_EQUAL (sim->order_role, "standby");
+  sim_free (sim);
+}
+
+static const UnitTest tests[] = {
+  { "an order is repeated until its effect is reported", repeat_until_shown },
+  { "no order follows one with a higher number", old_number },
+  { "engines without numbers get no order too early", engine_without_numbers },
+  { "the last copy stays loaded", last_copy },
+};
+
+UNIT_MAIN ("order", tests)
