fix(health): a crashed engine is tried each second, without slow start

Cause: ejections for failures doubled and ended in a slow start; engines that came back idle left the others above the load bound for 24 s. Change: failures eject for 1 s each time, and the engine returns at once.

--- a/src/tarragontrack/board/health_defs.h
+++ b/src/tarragontrack/board/health_defs.h
@@ -10,6 +10,7 @@
   double per_token_us;
   int64_t sampled_us;
   bool ejected;
+  bool crashed; ///< ejected for failures, not for its timings
   int64_t ejected_us;
   int64_t ejected_until_us;
   uint32_t ejections;      ///< in a row; lengthens the next ejection
--- a/src/tarragontrack/control/health.c
+++ b/src/tarragontrack/control/health.c
@@ -167,6 +167,7 @@
                int64_t now_us)
 {
   TtHealthBackend *health = &backend->health;
+  bool crashed = first_us == CRASH_EJECTION_US;
   uint32_t doublings
       = health->ejections < EJECT_DOUBLINGS_MAX ? health->ejections : EJECT_DOUBLINGS_MAX;
 
@@ -176,8 +177,12 @@
     return;
   health->ejected = true;
   health->ejected_us = now_us;
-  health->ejections++;
-  health->ejected_until_us = now_us + first_us * (INT64_C (1) << doublings);
+  // A crashed engine is tried each second: it is either down, which costs one refused connection,
+  // or as fast as before.
+  health->crashed = crashed;
+  if (!crashed)
+    health->ejections++;
+  health->ejected_until_us = now_us + (crashed ? first_us : first_us * (INT64_C (1) << doublings));
   health->slow_checks = 0;
   board->health.ejected_count++;
   board->dirty = true;
@@ -195,12 +200,12 @@
   TtHealthBackend *health = &backend->health;
 
   health->ejected = false;
-  health->slow_start_us = now_us;
+  health->slow_start_us = health->crashed ? 0 : now_us;
   health->first_token_us = 0.0;
   health->per_token_us = 0.0;
   health->samples = 0;
   health->failures = 0;
-  health->factor = MIN_FACTOR;
+  health->factor = health->crashed ? 1.0 : MIN_FACTOR;
   board->health.ejected_count--;
   board->dirty = true;
   tt_board_log (board, TT_LOG_BACKEND_RETURNED, "backend=%s", backend->name);
