--- a/src/tarragontrack/control/claim_shard.c
+++ b/src/tarragontrack/control/claim_shard.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define OUTCOME_KEEP_S (24 * 3600)  ///< a recorded answer is repeated for a day
-#define KEY_KEEP_S (30 * 24 * 3600) ///< a key cannot run again for 30 days
-#define NOT_RUN_KEEP_S 3600         ///< "not run" allows the same as no entry
+#define OUTCOME_KEEP_S INT64_C (86400)   ///< a recorded answer is repeated for a day
+#define KEY_KEEP_S (30 * OUTCOME_KEEP_S) ///< a key cannot run again for 30 days
+#define NOT_RUN_KEEP_S INT64_C (3600)    ///< "not run" allows the same as no entry
 #define INITIAL_CAPACITY 16U
 
 TtClaimShard *
--- /dev/null
+++ b/test/scenarios/scripts/p2_silent_connection.lua
@@ -0,0 +1,16 @@
+-- P2: connections that go silent for good do not leave callers without an answer, and the late
+-- answers that come when they wake up are discarded.
+start { daemons = 3, domains = 1, engines = 4, services = 1, seed = 21 }
+local calls = {}
+for chat = 1, 20 do
+  calls[#calls + 1] = send { daemon = chat % 3 + 1, chat = chat, tokens = 64 }
+end
+run (0.1)
+backend (1, { silent = true })
+run (8)
+backend (1, { silent = false })
+run (40)
+for _, call in ipairs (calls) do
+  expect (outcome (call) == "complete" or outcome (call) == "cut",
+          "each chat ends whole or with an explicit error, not " .. outcome (call))
+end
--- /dev/null
+++ b/test/support/fleet_check.c
@@ -0,0 +1,125 @@
+#include "support/fleet.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/board/request.h"
+#include <math.h>
+
+#define LEAVING_LIMIT_US (5 * TT_SECOND_US)
+#define REPORT_LAG_US (2 * TT_SECOND_US)
+#define LOAD_MULTIPLE 1.25 ///< world_document()
+
+/// Epochs never revert, and no router is behind an accepted change (P7).
+static void
+check_epochs (Fleet *fleet)
+{
+  uint64_t accepted = fleet_accepted (fleet);
+
+  for (uint32_t i = 0; i < fleet->config.daemons; i++)
+    {
+      FleetDaemon *daemon = &fleet->daemons[i];
+      uint64_t epoch;
+
+      if (!daemon->alive || daemon->paused_until_us > fleet->now_us)
+        continue;
+      epoch = daemon->board->configuration.epoch;
+      if (epoch < daemon->highest_epoch)
+        fleet_violate (fleet, "P7: daemon %u went back from epoch %llu to %llu", i,
+                       (unsigned long long) daemon->highest_epoch, (unsigned long long) epoch);
+      daemon->highest_epoch = epoch;
+      if (daemon->board->drain.ready && epoch < accepted)
+        fleet_violate (fleet, "P7: epoch %llu is accepted, daemon %u serves epoch %llu",
+                       (unsigned long long) accepted, i, (unsigned long long) epoch);
+    }
+}
+
+/// A leaving backend server gets no new work after a few seconds (P5).
+static void
+check_leaving (Fleet *fleet)
+{
+  for (uint32_t b = 0; b < fleet->backend_count; b++)
+    {
+      const FleetBackend *backend = &fleet->backends[b];
+      uint64_t id = tt_hash_string (backend->host.name);
+
+      if (backend->left_us == 0)
+        continue;
+      for (uint32_t i = 0; i < fleet->config.daemons; i++)
+        {
+          const TtBoard *board = fleet->daemons[i].board;
+
+          for (uint32_t a = 0; fleet->daemons[i].alive && a < board->requests.attempt_count; a++)
+            {
+              const TtAttempt *attempt = &board->requests.attempts[a];
+
+              if (attempt->request != NULL && attempt->backend->id == id
+                  && attempt->dispatched_us > backend->left_us + LEAVING_LIMIT_US)
+                fleet_violate (
+                    fleet, "P5: daemon %u sent work to %s %lld ms after it left", i,
+                    backend->host.name,
+                    (long long) ((attempt->dispatched_us - backend->left_us) / TT_MILLISECOND_US));
+            }
+        }
+    }
+}
+
+/// What was relayed is what the caller gets: a complete answer is whole (P2).
+static void
+check_answers (Fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->config.daemons; i++)
+    {
+      const TtBoard *board = fleet->daemons[i].board;
+
+      for (uint32_t r = 0; fleet->daemons[i].alive && r < board->requests.count; r++)
+        {
+          const TtRequest *request = &board->requests.pool[r];
+          const FleetCall *call;
+
+          if (request->stage == TT_STAGE_FREE || request->relayed_tokens == 0)
+            continue;
+          call = fleet_call_of (fleet, i, request->spec.request_id);
+          if (call != NULL && request->relayed_tokens > call->tokens)
+            fleet_violate (fleet, "P2: request %llu got %u tokens of %u",
+                           (unsigned long long) request->spec.request_id, request->relayed_tokens,
+                           call->tokens);
+        }
+    }
+}
+
+/// No engine is over the multiple of the mean load of its failure domain for longer than the
+/// report lag (P1).
+static void
+check_load (Fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->config.engines; i++)
+    {
+      FleetBackend *backend = &fleet->backends[i];
+      double sum = 0.0;
+      uint32_t count = 0;
+      double bound;
+
+      for (uint32_t j = 0; j < fleet->config.engines; j++)
+        if (fleet->backends[j].domain == backend->domain && fleet->backends[j].alive)
+          {
+            sum += fleet->backends[j].running;
+            count++;
+          }
+      bound = count > 0 ? ceil (LOAD_MULTIPLE * sum / count) + 1.0 : 0.0;
+      if (!backend->alive || backend->running <= bound)
+        backend->over_since_us = 0;
+      else if (backend->over_since_us == 0)
+        backend->over_since_us = fleet->now_us;
+      else if (fleet->now_us - backend->over_since_us > REPORT_LAG_US)
+        fleet_violate (fleet, "P1: %s runs %u requests, the bound is %.0f", backend->host.name,
+                       backend->running, bound);
+    }
+}
+
+void
+fleet_check (Fleet *fleet)
+{
+  if (fleet->check_load)
+    check_load (fleet);
+  check_epochs (fleet);
+  check_leaving (fleet);
+  check_answers (fleet);
+}
