--- a/src/tarragontrack/board/claim_defs.h
+++ b/src/tarragontrack/board/claim_defs.h
@@ -10,7 +10,8 @@
 {
   TT_CLAIM_SHARDS = 256,         ///< objects claims/SHARD
   TT_CLAIM_OUTCOME_MAX = 1024,   ///< bytes of a recorded answer; longer ones are cut and marked
-  TT_CLAIM_SHARD_ENTRIES = 8192, ///< entries an object may hold; more are refused
+  TT_CLAIM_SHARD_ENTRIES = 4096, ///< entries an object may hold; more are refused
+  TT_CLAIM_SHARD_BYTES = 900000, ///< estimate up to which an object grows; its limit is 1 MB
   TT_CLAIM_QUERIES = 64          ///< open outcome queries of one daemon
 };
 
@@ -53,6 +54,7 @@
   TtClaimStep step;
   TtId128 attempt;
   bool unsettled;           ///< a write of the claim had no answer; its effect is unknown
+  bool sent;                ///< set by `retry`: bytes of the request may have left
   uint32_t unsent_failures; ///< attempts that failed before a byte was sent
   TtClaimState final_state; ///< SETTLING: DONE or NOT_RUN
   uint16_t status;          ///< of the answer to record
