test(bench): time of a change and cost of control against fleet size

Change: bench/config_bench.c runs up to 360 boards in 11 failure domains in simulated time with the simulated platform of the tests.

--- /dev/null
+++ b/bench/config_bench.c
@@ -0,0 +1,301 @@
+/// Time until a change is in force, and cost of control, against fleet size.
+///
+/// Usage: config_bench [TABLE [SEED [LARGEST]]]
+#include "support/sim.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/hash.h"
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define CHANGES 20
+#define STEADY_S 102
+#define CUT_S 120
+#define STEP_US (10 * TT_MILLISECOND_US)
+
+typedef struct
+{
+  uint32_t boards;
+  uint32_t domains;
+  double loss;
+} Size;
+
+typedef struct
+{
+  double median_s;
+  double p99_s;
+  double max_s;
+  double accepted_s; ///< median
+  double sent_bytes; ///< per daemon and second
+  double most_bytes; ///< sent and received by the busiest daemon
+  double messages;
+  double reads; ///< of the fleet, per second
+  double writes;
+  double watches;
+  double force_s; ///< after the failure domain returned
+  double reaccepted_s;
+} Result;
+
+/// Makes one daemon of each failure domain the keeper of each engine, as `share` would.
+static void
+set_keepers (Sim *sim)
+{
+  for (uint32_t h = 0; h < sim->host_count; h++)
+    {
+      const TtHostEntry *host = &sim->hosts[h];
+      uint64_t id = tt_hash_string (host->name);
+      const SimNode *keeper = NULL;
+      double best = -1.0;
+
+      for (uint32_t i = 0; i < sim->node_count && !host->entry_host; i++)
+        {
+          double score = tt_hash_score (id, tt_hash_string (sim->nodes[i].name), 1.0);
+
+          if (tt_hash_string (sim->domains[sim->nodes[i].domain]) != tt_hash_string (host->domain)
+              || score < best)
+            continue;
+          best = score;
+          keeper = &sim->nodes[i];
+        }
+      for (uint32_t i = 0; keeper != NULL && i < sim->node_count; i++)
+        {
+          TtBackendServer *backend = tt_backend_find (sim->nodes[i].board, id);
+
+          if (backend == NULL)
+            continue;
+          backend->share.keeper_id = tt_hash_string (keeper->name);
+          backend->share.keeper_since_us = &sim->nodes[i] == keeper ? sim->now_us : 0;
+        }
+    }
+}
+
+static Sim *
+start_fleet (const Size *size, uint64_t seed)
+{
+  Sim *sim = sim_new (seed);
+  char name[TT_NAME_MAX];
+  char domain[TT_NAME_MAX];
+
+  (void) sim_apply (sim, "demo", TT_DETACHED_REFUSE, true);
+  for (uint32_t d = 0; d < size->domains; d++)
+    {
+      uint32_t engines = size->boards * 880 / 360 / size->domains;
+
+      (void) snprintf (domain, sizeof domain, "domain-%u", d);
+      sim_add_engines (sim, engines > 0 ? engines : 1, "demo", domain);
+    }
+  for (uint32_t i = 0; i < size->boards; i++)
+    {
+      (void) snprintf (name, sizeof name, "router-%u", i);
+      (void) snprintf (domain, sizeof domain, "domain-%u", i % size->domains);
+      (void) sim_add (sim, name, domain);
+    }
+  sim->loss = size->loss;
+  sim_run (sim, sim->now_us + 60 * TT_SECOND_US);
+  set_keepers (sim);
+  sim_run (sim, sim->now_us + 30 * TT_SECOND_US);
+  return sim;
+}
+
+static bool
+is_accepted (Sim *sim, uint64_t epoch)
+{
+  const SimObject *object = sim_object (sim, "config/accepted");
+
+  return object != NULL && object->object.accepted.epoch >= epoch;
+}
+
+static double
+seconds_since (const Sim *sim, int64_t start_us)
+{
+  return (double) (sim->now_us - start_us) / (double) TT_SECOND_US;
+}
+
+/// Applies changes and notes for each daemon when each is in force.
+static void
+measure_changes (Sim *sim, Result *result)
+{
+  size_t count = (size_t) CHANGES * sim->node_count;
+  double *samples = calloc (count, sizeof *samples);
+  double acceptances[CHANGES];
+  size_t n = 0;
+
+  if (samples == NULL)
+    abort ();
+  for (uint32_t c = 0; c < CHANGES; c++)
+    {
+      uint64_t epoch;
+      int64_t start_us;
+      bool accepted = false;
+      bool all = false;
+
+      sim_run (sim, sim->now_us + (int64_t) tt_rng_below (&sim->rng, 5 * TT_SECOND_US));
+      start_us = sim->now_us;
+      epoch = sim_apply (sim, c % 2 == 0 ? "demo" : "other", TT_DETACHED_REFUSE, true);
+      for (uint32_t i = 0; i < sim->node_count; i++)
+        samples[n + i] = -1.0;
+      while (!(accepted && all) && seconds_since (sim, start_us) < 120.0)
+        {
+          sim_run (sim, sim->now_us + STEP_US);
+          all = true;
+          for (uint32_t i = 0; i < sim->node_count; i++)
+            if (samples[n + i] < 0.0)
+              {
+                if (sim->nodes[i].board->configuration.epoch >= epoch)
+                  samples[n + i] = seconds_since (sim, start_us);
+                else
+                  all = false;
+              }
+          if (!accepted && is_accepted (sim, epoch))
+            {
+              accepted = true;
+              acceptances[c] = seconds_since (sim, start_us);
+            }
+        }
+      if (!accepted || !all)
+        {
+          (void) fprintf (stderr, "change %u not accepted within 120 s\n", c);
+          acceptances[c] = 120.0;
+          for (uint32_t i = 0; i < sim->node_count; i++)
+            if (samples[n + i] < 0.0)
+              samples[n + i] = 120.0;
+        }
+      n += sim->node_count;
+    }
+  gsl_sort (samples, 1, n);
+  gsl_sort (acceptances, 1, CHANGES);
+  result->median_s = gsl_stats_median_from_sorted_data (samples, 1, n);
+  result->p99_s = gsl_stats_quantile_from_sorted_data (samples, 1, n, 0.99);
+  result->max_s = samples[n - 1];
+  result->accepted_s = gsl_stats_median_from_sorted_data (acceptances, 1, CHANGES);
+  free (samples);
+}
+
+/// Runs at the target's rate of changes and counts messages, bytes and platform calls.
+static void
+measure_cost (Sim *sim, Result *result)
+{
+  double seconds = STEADY_S;
+
+  for (uint32_t i = 0; i < sim->node_count; i++)
+    {
+      SimNode *node = &sim->nodes[i];
+
+      node->sent = node->sent_bytes = node->received_bytes = 0;
+      node->reads = node->writes = node->watches = 0;
+    }
+  for (int64_t second = 0; second < STEADY_S; second++)
+    {
+      // 1,700 changes a day are one every 51 s.
+      if (second % 51 == 10)
+        (void) sim_apply (sim, "demo", TT_DETACHED_REFUSE, true);
+      sim_run (sim, sim->now_us + TT_SECOND_US);
+    }
+  for (uint32_t i = 0; i < sim->node_count; i++)
+    {
+      const SimNode *node = &sim->nodes[i];
+      double bytes = (double) (node->sent_bytes + node->received_bytes) / seconds;
+
+      result->sent_bytes += (double) node->sent_bytes / seconds / sim->node_count;
+      result->messages += (double) node->sent / seconds / sim->node_count;
+      result->reads += (double) node->reads / seconds;
+      result->writes += (double) node->writes / seconds;
+      result->watches += (double) node->watches / seconds;
+      if (bytes > result->most_bytes)
+        result->most_bytes = bytes;
+    }
+}
+
+/// Cuts off a failure domain, applies a change, and measures the time after the return.
+static void
+measure_return (Sim *sim, Result *result)
+{
+  uint64_t epoch = 0;
+  int64_t start_us;
+
+  sim->cut[1] = true;
+  sim_run (sim, sim->now_us + CUT_S / 2 * TT_SECOND_US);
+  // A team that waits: the change is staged until the failure domain is back.
+  epoch = sim_apply (sim, "waits", TT_DETACHED_WAIT, true);
+  sim_run (sim, sim->now_us + CUT_S / 2 * TT_SECOND_US);
+  if (is_accepted (sim, epoch))
+    (void) fprintf (stderr, "accepted without the failure domain that is cut off\n");
+  sim->cut[1] = false;
+  start_us = sim->now_us;
+  while (!sim_in_force (sim, epoch) && seconds_since (sim, start_us) < 300.0)
+    sim_run (sim, sim->now_us + STEP_US);
+  result->force_s = seconds_since (sim, start_us);
+  while (!is_accepted (sim, epoch) && seconds_since (sim, start_us) < 300.0)
+    sim_run (sim, sim->now_us + STEP_US);
+  result->reaccepted_s = seconds_since (sim, start_us);
+}
+
+static void
+print_tables (FILE *file, const Size *sizes, const Result *results, size_t count)
+{
+  (void) fprintf (
+      file, "## Time of a change\n\nSeconds from the operator's write. Bound: 15 s in force at "
+            "360 daemons.\n\n| daemons | failure domains | loss | in force, median | p99 | max "
+            "| accepted, median | in force after return | accepted after return |\n"
+            "|---|---|---|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < count; i++)
+    (void) fprintf (file, "| %u | %u | %.0f %% | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f |\n",
+                    sizes[i].boards, sizes[i].domains, sizes[i].loss * 100.0, results[i].median_s,
+                    results[i].p99_s, results[i].max_s, results[i].accepted_s, results[i].force_s,
+                    results[i].reaccepted_s);
+  (void) fprintf (
+      file, "\n## Cost\n\nBytes are estimated: 24 for a message's frame and its fields. Bounds: "
+            "11,000 bytes a second per daemon; for the fleet 2,000 reads (watches included) "
+            "and several hundred writes a second.\n\n| daemons | failure domains | loss | "
+            "messages/s per daemon | bytes/s sent per daemon | bytes/s sent and received, "
+            "busiest daemon | reads/s, fleet | of these watches | writes/s, fleet | reads/s per "
+            "daemon |\n|---|---|---|---|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < count; i++)
+    (void) fprintf (file,
+                    "| %u | %u | %.0f %% | %.2f | %.0f | %.0f | %.1f | %.2f | %.1f | %.2f |\n",
+                    sizes[i].boards, sizes[i].domains, sizes[i].loss * 100.0, results[i].messages,
+                    results[i].sent_bytes, results[i].most_bytes, results[i].reads,
+                    results[i].watches, results[i].writes, results[i].reads / sizes[i].boards);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const Size sizes[]
+      = { { 5, 3, 0.01 },    { 12, 4, 0.01 },   { 36, 11, 0.01 }, { 90, 11, 0.01 },
+          { 180, 11, 0.01 }, { 360, 11, 0.01 }, { 360, 11, 0.20 } };
+  const char *path = argc > 1 ? argv[1] : "docs/measurements/configuration.md";
+  uint64_t seed = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
+  uint32_t largest = argc > 3 ? (uint32_t) strtoul (argv[3], NULL, 10) : 360;
+  Result results[sizeof sizes / sizeof sizes[0]] = { 0 };
+  size_t count = 0;
+  FILE *file;
+
+  while (count < sizeof sizes / sizeof sizes[0] && sizes[count].boards <= largest)
+    {
+      Sim *sim = start_fleet (&sizes[count], seed);
+
+      measure_changes (sim, &results[count]);
+      measure_cost (sim, &results[count]);
+      measure_return (sim, &results[count]);
+      sim_free (sim);
+      (void) fprintf (stderr, "%u daemons done\n", sizes[count].boards);
+      count++;
+    }
+  file = fopen (path, "w");
+  if (file == NULL)
+    {
+      perror (path);
+      return 1;
+    }
+  (void) fprintf (
+      file,
+      "# Configuration changes and control traffic\n\nCommand: `config_bench %s %llu`, "
+      "seed %llu, written by the program. Simulated time: messages take 0.2 to 2 ms, "
+      "platform calls 1 to 5 ms; %d changes, %d s at one change every 51 s, then one "
+      "failure domain cut off for %d s. Engines: 880 for 360 daemons, in proportion.\n\n",
+      path, (unsigned long long) seed, (unsigned long long) seed, CHANGES, STEADY_S, CUT_S);
+  print_tables (file, sizes, results, count);
+  return fclose (file) == 0 ? 0 : 1;
+}
