fix(io): host lists are read by failure domain, refused teams and wall clock come from the board

Cause: the parts were written side by side: roster names the failure domain in the call's key, the client always asked for its own; admit repeated the decision of config about cut-off domains; audit entries took their time from the incarnation. Change: GET /hosts?domain=KEY; admit reads refused_detached; reports and audit use the board's wall clock, which the front end sets.

--- a/src/tarragontrack/board/acceptor_defs.h
+++ b/src/tarragontrack/board/acceptor_defs.h
@@ -58,6 +58,5 @@
   TtConfigChange change; ///< the change that is being accepted
   bool change_is_entry;  ///< it gets an entry of the audit trail
   uint32_t repair_slot;
-  TtObject object;   ///< content of the open write
-  int64_t opened_us; ///< first event; config.incarnation is the wall clock of that time
+  TtObject object; ///< content of the open write
 } TtAcceptorSection;
--- a/src/tarragontrack/control/acceptor.c
+++ b/src/tarragontrack/control/acceptor.c
@@ -16,12 +16,6 @@
 #define READ_IDLE_US (5 * TT_SECOND_US)
 #define CALL_LIMIT_US (10 * TT_SECOND_US)
 
-int64_t
-tt_acceptor_wall_s (const TtBoard *board, int64_t now_us)
-{
-  return ((int64_t) board->config.incarnation + now_us - board->acceptor.opened_us) / TT_SECOND_US;
-}
-
 /// Takes in the answer to the reporter's call.
 static void
 take_report_answer (TtBoard *board, const TtPlatformEvent *answer, int64_t now_us)
@@ -91,7 +85,7 @@
     {
       object->generation = members->lowest_generation;
       object->epoch = members->lowest_epoch;
-      object->confirmed_s = tt_acceptor_wall_s (board, now_us);
+      object->confirmed_s = board->wall_s;
     }
   section->report_is_write = true;
   section->report_call = tt_board_call (board, TT_PLATFORM_PUT, key, section->report_version,
@@ -201,8 +195,6 @@
   uint64_t call_id = event->platform.call_id;
 
   (void) context;
-  if (section->opened_us == 0)
-    section->opened_us = now_us;
   if (event->type != TT_EVENT_PLATFORM)
     return;
   if (section->report_call != 0 && call_id == section->report_call)
--- a/src/tarragontrack/control/acceptor.h
+++ b/src/tarragontrack/control/acceptor.h
@@ -5,9 +5,6 @@
 
 #define TT_ACCEPTOR_ROLE "acceptor"
 
-/// Seconds of the wall clock, for people only: the incarnation is the wall clock of the start.
-int64_t tt_acceptor_wall_s (const TtBoard *board, int64_t now_us);
-
 /// True if the failure domain has confirmed the epoch.
 bool tt_acceptor_confirmed (const TtAcceptorDomain *domain, uint64_t generation, uint64_t epoch);
 
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -31,16 +31,16 @@
   tt_admit_close_flows (board);
 }
 
-/// Document in force of a team; NULL if there is none.
-static const TtDocument *
+/// Slot of a team's document in force; NULL if there is none.
+static const TtDocumentSlot *
 document_of (const TtBoard *board, uint64_t team_id)
 {
   for (uint32_t i = 0; i < board->configuration.slot_count; i++)
     {
-      const TtDocument *document = board->configuration.slots[i].document;
+      const TtDocumentSlot *slot = &board->configuration.slots[i];
 
-      if (document != NULL && document->team_id == team_id)
-        return document;
+      if (slot->document != NULL && slot->document->team_id == team_id)
+        return slot;
     }
   return NULL;
 }
@@ -99,10 +99,12 @@
 resolve_request (TtBoard *board, TtRequest *request, int64_t now_us)
 {
   const TtRequestSpec *spec = &request->spec;
+  const TtDocumentSlot *slot;
   const TtDocument *document;
 
   request->pool = tt_pool_find (board, tt_hash_string (spec->service));
-  document = request->pool != NULL ? document_of (board, request->pool->team_id) : NULL;
+  slot = request->pool != NULL ? document_of (board, request->pool->team_id) : NULL;
+  document = slot != NULL ? slot->document : NULL;
   if (document == NULL)
     {
       // The request may be one that must not repeat, so that nothing is said of earlier attempts.
@@ -130,8 +132,7 @@
   else if (!request->idempotent && tt_id128_is_zero (spec->idempotency_key))
     reject (board, request, TT_OUTCOME_NOT_RUN, 400, TT_E_INVALID,
             "a request that must not repeat needs Idempotency-Key; it did not run");
-  else if (document->detached == TT_DETACHED_REFUSE
-           && now_us - board->configuration.contact_us > document->detach_after_s * TT_SECOND_US)
+  else if (slot->refused_detached)
     tt_admit_refuse (board, request, 503, RETRY_AFTER_MS,
                      "this failure domain has no contact with the platform");
 }
--- a/src/tarragontrack/control/audit.c
+++ b/src/tarragontrack/control/audit.c
@@ -95,7 +95,7 @@
   memcpy (entry->author, section->change.author, sizeof entry->author);
   entry->document_hash = section->change.hash;
   entry->staged_s = section->change.staged_s;
-  entry->accepted_s = tt_acceptor_wall_s (board, now_us);
+  entry->accepted_s = board->wall_s;
   for (uint32_t i = 0; i < section->domain_count; i++)
     {
       const TtAcceptorDomain *domain = &section->domains[i];
--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -22,7 +22,6 @@
   TtList open;   ///< PlatformCall.link
   TtList failed; ///< PlatformCall.link, the event is due
   char base[BASE_MAX];
-  char domain[TT_NAME_MAX];
 };
 
 typedef struct
@@ -161,7 +160,8 @@
                          step_of (call->op), call->key, "expected a version in ETag");
   if (call->op == TT_PLATFORM_PUT)
     return TT_OK;
-  if (tt_object_read (call->key, call->data != NULL ? call->data : "", call->size, object, error)
+  if (tt_object_read (call->op == TT_PLATFORM_HOSTS ? TT_OBJECT_HOSTS_KEY : call->key,
+                      call->data != NULL ? call->data : "", call->size, object, error)
       == TT_OK)
     return TT_OK;
   return TT_E_MALFORMED;
@@ -230,10 +230,10 @@
                    call->op == TT_PLATFORM_HOSTS ? "/hosts" : "/objects/");
   if (call->op == TT_PLATFORM_HOSTS)
     {
-      if (call->client->domain[0] == '\0')
+      if (call->key[0] == '\0')
         return;
       (void) snprintf (url + strlen (url), size - strlen (url), "?domain=");
-      append_key (url, size, call->client->domain);
+      append_key (url, size, call->key);
       return;
     }
   append_key (url, size, call->key);
@@ -293,8 +293,6 @@
   tt_list_init (&client->open);
   tt_list_init (&client->failed);
   (void) snprintf (client->base, sizeof client->base, "%s", options->url);
-  (void) snprintf (client->domain, sizeof client->domain, "%s",
-                   options->domain != NULL ? options->domain : "");
   (void) uv_timer_init (loop, &client->timer);
   client->timer.data = client;
   return client;
@@ -339,8 +337,7 @@
   call->client = client;
   call->call_id = action->call_id;
   call->op = action->op;
-  (void) snprintf (call->key, sizeof call->key, "%s",
-                   action->op == TT_PLATFORM_HOSTS ? TT_OBJECT_HOSTS_KEY : action->key);
+  (void) snprintf (call->key, sizeof call->key, "%s", action->key);
   tt_list_append (&client->open, &call->link);
   if (client->open.count + client->failed.count > TT_PLATFORM_MAX_CALLS)
     code = tt_error_set (&call->error, TT_E_LIMIT, step_of (call->op), call->key,
--- a/src/tarragontrack/io/platform_client.h
+++ b/src/tarragontrack/io/platform_client.h
@@ -2,7 +2,8 @@
 ///
 /// GET /objects/KEY answers the stored text with its version in ETag; 404 if absent. PUT carries
 /// If-Match (0 = create); 412 on a conflict. A watch is GET with ?watch=VERSION&wait_ms=N; 304 if
-/// unchanged. GET /hosts?domain=NAME takes If-None-Match.
+/// unchanged. GET /hosts?domain=KEY takes If-None-Match; without a key
+/// it lists the whole fleet.
 #pragma once
 
 #include "tarragontrack/board/action_defs.h"
@@ -23,8 +24,7 @@
 
 typedef struct
 {
-  const char *url;    ///< http://IP:PORT without a path; copied
-  const char *domain; ///< own failure domain, named when the host list is read; may be NULL; copied
+  const char *url; ///< http://IP:PORT without a path; copied
   void *context;
   /// Gives the answer as an event of the type TT_EVENT_PLATFORM, valid during the call.
   void (*on_event) (void *context, const TtEvent *event);
--- a/test/io/platform_client_test.c
+++ b/test/io/platform_client_test.c
@@ -68,7 +68,7 @@
     304, "ETag: 5\r\n", "", TT_OK, 5, true, false },
   { TT_PLATFORM_WATCH, "config/accepted", "GET /objects/", NULL, 200, "ETag: 8\r\n", ACCEPTED,
     TT_OK, 8, false, true },
-  { TT_PLATFORM_HOSTS, "", "GET /hosts?domain=north%201 HTTP", "If-None-Match: 5\r\n", 200,
+  { TT_PLATFORM_HOSTS, "north 1", "GET /hosts?domain=north%201 HTTP", "If-None-Match: 5\r\n", 200,
     "ETag: 6\r\n", "{\"hosts\":[]}", TT_OK, 6, false, true },
 };
 
@@ -131,8 +131,7 @@
   (void) snprintf (url, sizeof url, "http://127.0.0.1:%u", uv_peer_port (world->peer));
   world->client = tt_platform_client_new (
       &world->loop, world->http,
-      &(TtPlatformClientOptions){
-          .url = url, .domain = "north 1", .context = world, .on_event = check_event });
+      &(TtPlatformClientOptions){ .url = url, .context = world, .on_event = check_event });
 }
 
 static void
