feat(bench): load tool with paced arrivals and checked answers

The daemon's promises concern whole answers, tails and executions of grants, which no ad-hoc client measures. tt_load draws arrivals from a seed, lets chats return, compares each answer with the one that follows from its request, and measures latency from the intended time of sending.

--- /dev/null
+++ b/bench/load/call.c
@@ -0,0 +1,311 @@
+#include "call.h"
+#include "balancer.h"
+#include "check.h"
+#include "plan.h"
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CHAT_PATH "/v1/chat/completions"
+#define CONNECT_TIMEOUT_MS 2000
+#define RETRY_MS 50   ///< wait when no target takes the connection
+#define MAX_TRIES 400 ///< times RETRY_MS: longer than a daemon takes to start
+#define US_PER_MS 1000.0
+#define HEADER_SIZE 128
+
+static void send_request (LoadRequest *request);
+
+static int64_t
+now_us (void)
+{
+  return (int64_t) (uv_hrtime () / 1000);
+}
+
+static double
+since_ms (int64_t from_us, int64_t to_us)
+{
+  return (double) (to_us - from_us) / US_PER_MS;
+}
+
+static void
+copy_header (const TtHttpCall *call, const char *name, char *target)
+{
+  const char *value = tt_http_call_header (call, name);
+
+  if (value != NULL)
+    g_strlcpy (target, value, LOAD_NAME_MAX);
+}
+
+static void
+on_headers (void *context, TtHttpCall *call, unsigned status)
+{
+  LoadRequest *request = context;
+
+  request->status = status;
+  copy_header (call, "X-Outcome", request->outcome);
+  if (request->chat != NULL)
+    copy_header (call, "X-Chat-Route", request->chat->route);
+}
+
+static void
+on_data (void *context, const char *data, size_t size)
+{
+  LoadRequest *request = context;
+  uint32_t before = request->scan.tokens;
+  int64_t now = now_us ();
+
+  g_string_append_len (request->answer, data, (gssize) size);
+  if (request->kind->type != LOAD_TYPE_STREAM)
+    return;
+  request->scanned += tt_sse_scan (request->answer->str + request->scanned,
+                                   request->answer->len - request->scanned, &request->scan);
+  for (uint32_t i = before; i < request->scan.tokens; i++)
+    {
+      double gap = since_ms (request->last_us, now);
+
+      if (i == 0)
+        request->first_ms = since_ms (request->intended_us, now);
+      else
+        g_array_append_val (request->gaps, gap);
+      request->last_us = now;
+    }
+}
+
+/// Number after a key of the answer's usage; 0 if absent.
+static uint64_t
+usage_number (const LoadRequest *request, const char *key)
+{
+  const char *at = strstr (request->answer->str, key);
+
+  return at != NULL ? strtoull (at + strlen (key), NULL, 10) : 0;
+}
+
+/// Adds a whole answer to the numbers of its kind of work.
+static void
+count_whole (const LoadRequest *request, int64_t now)
+{
+  LoadNumbers *numbers = &request->kind->numbers;
+  double total = since_ms (request->intended_us, now);
+  uint64_t prompt = usage_number (request, "\"prompt_tokens\":");
+  uint64_t cached = usage_number (request, "\"cached_tokens\":");
+
+  g_array_append_val (numbers->total, total);
+  if (request->chat == NULL)
+    return;
+  numbers->tokens += request->max_tokens;
+  numbers->prompt_tokens += prompt;
+  numbers->cached_tokens += cached;
+  if (request->chat->turns > 1)
+    {
+      numbers->return_prompt_tokens += prompt;
+      numbers->return_cached_tokens += cached;
+    }
+  if (request->kind->type != LOAD_TYPE_STREAM)
+    return;
+  g_array_append_val (numbers->first, request->first_ms);
+  g_array_append_vals (numbers->gaps, request->gaps->data, request->gaps->len);
+}
+
+/// Lets a chat pause after its turn. A chat without a whole answer ends.
+static void
+return_chat (LoadRequest *request, LoadOutcome outcome, int64_t now)
+{
+  GString *answer = g_string_new (NULL);
+
+  load_check_expected (request, answer);
+  if (outcome == LOAD_WHOLE)
+    load_plan_return_chat (request->load, request->chat, answer->str, now);
+  else
+    load_plan_free_chat (request->chat);
+  (void) g_string_free (answer, TRUE);
+}
+
+/// Counts a request that has its outcome, and frees it.
+static void
+finish_request (LoadRequest *request, LoadOutcome outcome)
+{
+  Load *load = request->load;
+  int64_t now = now_us ();
+
+  load->open--;
+  load->last_end_us = now;
+  request->kind->numbers.outcomes[outcome]++;
+  if (outcome == LOAD_WHOLE)
+    count_whole (request, now);
+  else
+    (void) fprintf (stderr, "tt_load: request %llu (%s, %s) at %s: outcome %d, status %u, %s\n",
+                    (unsigned long long) request->number, request->kind->name, request->key,
+                    request->target >= 0 ? load->targets[request->target].url : "no target",
+                    (int) outcome, request->status, request->outcome);
+  if (request->chat != NULL)
+    return_chat (request, outcome, now);
+  if (request->kind->type == LOAD_TYPE_GRANT && !request->repeated)
+    {
+      (void) g_hash_table_insert (load->grants, g_strdup (request->key),
+                                  GINT_TO_POINTER ((int) outcome + 1));
+      if (gsl_rng_uniform (load->random) < load->options.repeat)
+        load_call_start (load_plan_repeat (request, now));
+    }
+  load_plan_free (request);
+}
+
+static void
+on_retry_closed (uv_handle_t *handle)
+{
+  LoadRequest *request = handle->data;
+
+  g_free (handle);
+  send_request (request);
+}
+
+static void
+on_retry (uv_timer_t *timer)
+{
+  uv_close ((uv_handle_t *) timer, on_retry_closed);
+}
+
+/// Tries another target: none took the connection, so nothing was sent.
+static void
+retry_later (LoadRequest *request)
+{
+  uv_timer_t *timer;
+
+  if (++request->tries == MAX_TRIES)
+    {
+      finish_request (request, LOAD_UNREACHABLE);
+      return;
+    }
+  if (request->target != LOAD_NO_TARGET)
+    request->load->retries++;
+  timer = g_new0 (uv_timer_t, 1);
+  (void) uv_timer_init (&request->load->loop, timer);
+  timer->data = request;
+  (void) uv_timer_start (timer, on_retry, request->tries < 2 ? 0 : RETRY_MS, 0);
+}
+
+static void
+on_end (void *context, const TtError *error)
+{
+  LoadRequest *request = context;
+  LoadOutcome outcome = load_check_outcome (request, error);
+
+  if (outcome != LOAD_UNREACHABLE)
+    {
+      finish_request (request, outcome);
+      return;
+    }
+  request->load->targets[request->target].ready
+      = request->load->targets[request->target].ready_url[0] == '\0';
+  retry_later (request);
+}
+
+/// Sends a request to the next target.
+static void
+send_request (LoadRequest *request)
+{
+  Load *load = request->load;
+  bool grant = request->kind->type == LOAD_TYPE_GRANT;
+  char headers[4][HEADER_SIZE];
+  const char *list[8] = { headers[0], headers[1], headers[2], "Content-Type: application/json" };
+  TtHttpRequest call = { .method = request->kind->type == LOAD_TYPE_CALL ? "GET" : "POST",
+                         .url = request->url,
+                         .headers = list,
+                         .body = request->body->str,
+                         .body_size = request->body->len,
+                         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                         .total_timeout_ms = (uint32_t) load->options.timeout_ms,
+                         .fresh_connection = grant,
+                         .context = request,
+                         .on_headers = on_headers,
+                         .on_data = on_data,
+                         .on_end = on_end };
+
+  request->target = load_balancer_pick (load, request->avoid);
+  if (request->target == LOAD_NO_TARGET)
+    {
+      retry_later (request);
+      return;
+    }
+  call.peer = load->targets[request->target].url;
+  load->targets[request->target].sent++;
+  (void) snprintf (request->url, sizeof request->url, "%s%s", call.peer,
+                   request->chat != NULL ? CHAT_PATH : load->options.path);
+  (void) snprintf (headers[0], HEADER_SIZE, "X-Client-Account: %s", request->account->name);
+  (void) snprintf (headers[1], HEADER_SIZE, "X-Work-Kind: %s", request->kind->name);
+  if (request->chat != NULL)
+    (void) snprintf (headers[2], HEADER_SIZE, "X-Chat-Id: chat-%llu",
+                     (unsigned long long) request->chat->number);
+  else
+    (void) snprintf (headers[2], HEADER_SIZE, "Idempotency-Key: %s", request->key);
+  if (request->chat != NULL && request->chat->route[0] != '\0')
+    {
+      (void) snprintf (headers[3], HEADER_SIZE, "X-Chat-Route: %s", request->chat->route);
+      list[4] = headers[3];
+    }
+  if (tt_http_client_start (load->http, &call) == NULL)
+    finish_request (request, LOAD_ERROR);
+}
+
+void
+load_call_start (LoadRequest *request)
+{
+  double lag = since_ms (request->intended_us, now_us ());
+
+  request->load->open++;
+  g_array_append_val (request->load->lags, lag);
+  send_request (request);
+}
+
+typedef struct
+{
+  Load *load;
+  int index;
+} ServiceCall;
+
+static void
+on_service_data (void *context, const char *data, size_t size)
+{
+  const ServiceCall *call = context;
+
+  g_string_append_len (call->load->service_text[call->index], data, (gssize) size);
+}
+
+static void
+on_service_end (void *context, const TtError *error)
+{
+  ServiceCall *call = context;
+
+  call->load->service_codes[call->index] = error->code;
+  call->load->service_calls--;
+  g_free (call);
+}
+
+void
+load_call_read_services (Load *load)
+{
+  for (int i = 0;
+       load->options.services != NULL && load->options.services[i] != NULL && i < LOAD_MAX_TARGETS;
+       i++)
+    {
+      ServiceCall *context = g_new0 (ServiceCall, 1);
+      char *url = g_strconcat (load->options.services[i], "/executions", NULL);
+      TtHttpRequest call = { .method = "GET",
+                             .url = url,
+                             .peer = load->options.services[i],
+                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                             .total_timeout_ms = (uint32_t) load->options.timeout_ms,
+                             .context = context,
+                             .on_data = on_service_data,
+                             .on_end = on_service_end };
+
+      context->load = load;
+      context->index = i;
+      load->service_text[i] = g_string_new (NULL);
+      load->service_codes[i] = TT_E_UNAVAILABLE;
+      if (tt_http_client_start (load->http, &call) != NULL)
+        load->service_calls++;
+      else
+        g_free (context);
+      g_free (url);
+    }
+}
--- /dev/null
+++ b/bench/load/check.c
@@ -0,0 +1,84 @@
+#include "check.h"
+#include "tarragontrack/board/hash.h"
+#include <string.h>
+
+#define STATUS_OK 200
+#define STATUS_CREATED 201
+
+void
+load_check_expected (const LoadRequest *request, GString *text)
+{
+  uint64_t seed = tt_hash_bytes (request->body->str, request->body->len);
+
+  (void) g_string_truncate (text, 0);
+  for (uint32_t i = 0; i < request->max_tokens; i++)
+    g_string_append_printf (text, "w%u.%" G_GINT64_MODIFIER "u ", i, tt_hash_pair (seed, i) % 1000);
+}
+
+/// Appends all texts under "content" of an answer.
+static void
+collect_content (const char *answer, GString *text)
+{
+  static const char key[] = "\"content\":\"";
+
+  for (const char *at = strstr (answer, key); at != NULL; at = strstr (at, key))
+    {
+      size_t length;
+
+      at += sizeof key - 1;
+      length = strcspn (at, "\"");
+      g_string_append_len (text, at, (gssize) length);
+      at += length;
+    }
+}
+
+/// Compares the answer of a chat with the one that its body must get.
+static LoadOutcome
+check_chat (const LoadRequest *request)
+{
+  GString *expected = g_string_new (NULL);
+  GString *content = g_string_new (NULL);
+  LoadOutcome outcome = LOAD_WHOLE;
+
+  load_check_expected (request, expected);
+  collect_content (request->answer->str, content);
+  if (!g_string_equal (expected, content))
+    // A beginning of the right answer is a cut one.
+    outcome = strncmp (expected->str, content->str, content->len) == 0 ? LOAD_CUT : LOAD_WRONG;
+  else if (request->kind->type == LOAD_TYPE_STREAM && !request->scan.done)
+    outcome = LOAD_CUT;
+  (void) g_string_free (expected, TRUE);
+  (void) g_string_free (content, TRUE);
+  return outcome;
+}
+
+/// Compares the answer of a plain service, which repeats the request's key.
+static LoadOutcome
+check_service (const LoadRequest *request)
+{
+  char *part = g_strdup_printf ("\"key\":\"%s\"", request->key);
+  bool found = strstr (request->answer->str, part) != NULL;
+
+  g_free (part);
+  return found ? LOAD_WHOLE : LOAD_WRONG;
+}
+
+LoadOutcome
+load_check_outcome (const LoadRequest *request, const TtError *error)
+{
+  bool answered = request->status == STATUS_OK || request->status == STATUS_CREATED;
+
+  if (error->code == TT_E_UNAVAILABLE)
+    return LOAD_UNREACHABLE;
+  if (error->code == TT_E_TIMEOUT)
+    return LOAD_TIMEOUT;
+  if (error->code != TT_OK || request->scan.error)
+    return LOAD_CUT;
+  if (!answered && strcmp (request->outcome, "not-run") == 0)
+    return LOAD_NOT_RUN;
+  if (!answered && strcmp (request->outcome, "unknown") == 0)
+    return LOAD_UNKNOWN;
+  if (!answered)
+    return strcmp (request->outcome, "cut") == 0 ? LOAD_CUT : LOAD_ERROR;
+  return request->chat != NULL ? check_chat (request) : check_service (request);
+}
--- /dev/null
+++ b/bench/load/main.c
@@ -0,0 +1,257 @@
+/// Load tool: sends paced requests to daemons or straight to stand-ins and checks each answer.
+#include "balancer.h"
+#include "call.h"
+#include "plan.h"
+#include "report.h"
+#include <stdio.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#define PROBE_MS 100
+#define US_PER_S 1000000
+#define EXIT_FAILED 1
+#define EXIT_USAGE 2
+
+static const char *const type_names[] = { "stream", "chat", "call", "grant" };
+
+/// Reads NAME:WEIGHT or NAME:WEIGHT:TYPE:TOKENS.
+static bool
+read_kind (Load *load, const char *text)
+{
+  char **parts = g_strsplit (text, ":", 4);
+  LoadKind *kind = &load->kinds[load->kind_count];
+  bool found = false;
+
+  if (g_strv_length (parts) == 4 && load->kind_count < LOAD_MAX_KINDS)
+    for (int type = 0; type < LOAD_TYPE_COUNT; type++)
+      if (strcmp (parts[2], type_names[type]) == 0)
+        {
+          kind->type = (LoadType) type;
+          found = true;
+        }
+  if (found)
+    {
+      g_strlcpy (kind->name, parts[0], sizeof kind->name);
+      kind->weight = g_ascii_strtod (parts[1], NULL);
+      kind->tokens = (uint32_t) strtoul (parts[3], NULL, 10);
+      kind->numbers.total = g_array_new (FALSE, FALSE, sizeof (double));
+      kind->numbers.first = g_array_new (FALSE, FALSE, sizeof (double));
+      kind->numbers.gaps = g_array_new (FALSE, FALSE, sizeof (double));
+      load->kind_count++;
+    }
+  g_strfreev (parts);
+  return found && kind->weight > 0.0 && kind->tokens > 0;
+}
+
+static bool
+read_account (Load *load, const char *text)
+{
+  char **parts = g_strsplit (text, ":", 2);
+  LoadAccount *account = &load->accounts[load->account_count];
+  bool fits = g_strv_length (parts) == 2 && load->account_count < LOAD_MAX_ACCOUNTS;
+
+  if (fits)
+    {
+      g_strlcpy (account->name, parts[0], sizeof account->name);
+      account->weight = g_ascii_strtod (parts[1], NULL);
+      load->account_count++;
+    }
+  g_strfreev (parts);
+  return fits && account->weight > 0.0;
+}
+
+/// Applies a reader to each text. RETURN false after a message if one is refused.
+static bool
+read_all (Load *load, char **texts, const char *name, bool (*read) (Load *load, const char *text))
+{
+  for (char **text = texts; text != NULL && *text != NULL; text++)
+    if (!read (load, *text))
+      {
+        (void) fprintf (stderr, "tt_load: --%s: \"%s\" is wrong, see --help\n", name, *text);
+        return false;
+      }
+  if (texts == NULL)
+    (void) fprintf (stderr, "tt_load: --%s is needed\n", name);
+  return texts != NULL;
+}
+
+static bool
+read_options (Load *load, int argc, char **argv)
+{
+  LoadOptions *options = &load->options;
+  const GOptionEntry entries[] = {
+    { "target", 't', 0, G_OPTION_ARG_STRING_ARRAY, &options->targets,
+      "http://IP:PORT of callers, with ,http://IP:PORT of operators for /readyz", "URL[,URL]" },
+    { "kind", 'k', 0, G_OPTION_ARG_STRING_ARRAY, &options->kinds,
+      "kind of work; TYPE is stream, chat, call or grant", "NAME:WEIGHT:TYPE:TOKENS" },
+    { "account", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &options->accounts, "client account",
+      "NAME:WEIGHT" },
+    { "service", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->services,
+      "service stand-in whose executions are read at the end", "URL" },
+    { "rate", 'r', 0, G_OPTION_ARG_DOUBLE, &options->rate, "arrivals a second", "N" },
+    { "duration", 'd', 0, G_OPTION_ARG_DOUBLE, &options->duration_s, "of the arrivals", "SECONDS" },
+    { "seed", 's', 0, G_OPTION_ARG_INT, &options->seed, "of all that is drawn", "N" },
+    { "turns", 0, 0, G_OPTION_ARG_DOUBLE, &options->turns, "mean number of a chat's turns", "N" },
+    { "pause-ms", 0, 0, G_OPTION_ARG_DOUBLE, &options->pause_ms, "mean pause of a chat", "MS" },
+    { "system-bytes", 0, 0, G_OPTION_ARG_INT, &options->system_bytes,
+      "size of an account's system prompt", "BYTES" },
+    { "message-bytes", 0, 0, G_OPTION_ARG_INT, &options->message_bytes,
+      "mean size of a user's message", "BYTES" },
+    { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &options->timeout_ms, "limit for one request", "MS" },
+    { "repeat", 0, 0, G_OPTION_ARG_DOUBLE, &options->repeat,
+      "part of the grants that are sent again at another target", "0..1" },
+    { "model", 'm', 0, G_OPTION_ARG_STRING, &options->model, "model of the chats", "NAME" },
+    { "path", 'p', 0, G_OPTION_ARG_STRING, &options->path, "of the plain service", "PATH" },
+    { "json", 'j', 0, G_OPTION_ARG_FILENAME, &options->json, "writes the report", "FILE" },
+    { "all-whole", 0, 0, G_OPTION_ARG_NONE, &options->all_whole,
+      "fails unless all answers are whole and each grant ran", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- load tool");
+  GError *error = NULL;
+  bool right;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  right = g_option_context_parse (context, &argc, &argv, &error) && argc == 1;
+  if (!right)
+    (void) fprintf (stderr, "tt_load: %s\n", error != NULL ? error->message : "no arguments");
+  g_clear_error (&error);
+  g_option_context_free (context);
+  if (options->model == NULL)
+    options->model = g_strdup ("chat");
+  if (options->path == NULL)
+    options->path = g_strdup ("/");
+  return right && options->rate > 0.0 && options->duration_s > 0.0 && options->turns >= 1.0
+         && read_all (load, options->targets, "target", load_balancer_add)
+         && read_all (load, options->kinds, "kind", read_kind)
+         && read_all (load, options->accounts, "account", read_account);
+}
+
+/// Sets the clock to the next arrival.
+static void
+arm_clock (const Load *load)
+{
+  struct itimerspec at = { .it_value = { .tv_sec = load->next_us / US_PER_S,
+                                         .tv_nsec = load->next_us % US_PER_S * 1000 } };
+
+  (void) timerfd_settime (load->clock, TFD_TIMER_ABSTIME, &at, NULL);
+}
+
+/// Sends all requests that are due.
+static void
+on_clock (uv_poll_t *poll, int status, int events)
+{
+  Load *load = poll->data;
+  int64_t now = (int64_t) (uv_hrtime () / 1000);
+  uint64_t expired;
+
+  (void) status;
+  (void) events;
+  if (read (load->clock, &expired, sizeof expired) < 0)
+    return;
+  while (load->next_us <= now && load->next_us < load->end_us)
+    {
+      load_call_start (load_plan_next (load, now));
+      load->next_us += load_plan_gap_us (load);
+    }
+  load->arrivals_done = load->next_us >= load->end_us;
+  if (!load->arrivals_done)
+    arm_clock (load);
+}
+
+static void
+on_probe (uv_timer_t *timer)
+{
+  load_balancer_probe (timer->data);
+}
+
+static void
+ignore_handle (uv_handle_t *handle)
+{
+  (void) handle;
+}
+
+static bool
+open_load (Load *load)
+{
+  (void) uv_loop_init (&load->loop);
+  load->http = tt_http_client_new (&load->loop);
+  load->random = gsl_rng_alloc (gsl_rng_mt19937);
+  load->clock = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (load->http == NULL || load->random == NULL || load->clock < 0)
+    return false;
+  gsl_rng_set (load->random, (unsigned long) load->options.seed);
+  load->lags = g_array_new (FALSE, FALSE, sizeof (double));
+  load->grants = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  tt_list_init (&load->chats);
+  (void) uv_poll_init (&load->loop, &load->clock_poll, load->clock);
+  (void) uv_timer_init (&load->loop, &load->probe_timer);
+  load->clock_poll.data = load;
+  load->probe_timer.data = load;
+  return true;
+}
+
+/// Sends all requests and waits for their outcomes.
+static void
+run_load (Load *load)
+{
+  load_balancer_probe (load);
+  while (!load_balancer_known (load))
+    (void) uv_run (&load->loop, UV_RUN_ONCE);
+  (void) uv_timer_start (&load->probe_timer, on_probe, PROBE_MS, PROBE_MS);
+  load->start_us = (int64_t) (uv_hrtime () / 1000);
+  load->next_us = load->start_us + load_plan_gap_us (load);
+  load->end_us = load->start_us + (int64_t) (load->options.duration_s * US_PER_S);
+  (void) uv_poll_start (&load->clock_poll, UV_READABLE, on_clock);
+  arm_clock (load);
+  while (!load->arrivals_done || load->open > 0)
+    (void) uv_run (&load->loop, UV_RUN_ONCE);
+  (void) uv_timer_stop (&load->probe_timer);
+  (void) uv_poll_stop (&load->clock_poll);
+  load_call_read_services (load);
+  while (load->service_calls > 0)
+    (void) uv_run (&load->loop, UV_RUN_ONCE);
+}
+
+static void
+close_load (Load *load)
+{
+  TtLink *link;
+
+  uv_close ((uv_handle_t *) &load->clock_poll, ignore_handle);
+  uv_close ((uv_handle_t *) &load->probe_timer, ignore_handle);
+  tt_http_client_free (load->http);
+  (void) uv_run (&load->loop, UV_RUN_DEFAULT);
+  (void) uv_loop_close (&load->loop);
+  (void) close (load->clock);
+  gsl_rng_free (load->random);
+  (void) g_array_free (load->lags, TRUE);
+  g_hash_table_destroy (load->grants);
+  while ((link = tt_list_pop (&load->chats)) != NULL)
+    load_plan_free_chat (TT_CONTAINER_OF (link, LoadChat, link));
+}
+
+int
+main (int argc, char **argv)
+{
+  static Load load = { .options = { .rate = 20,
+                                    .duration_s = 10,
+                                    .seed = 1,
+                                    .turns = 4,
+                                    .pause_ms = 1000,
+                                    .system_bytes = 1200,
+                                    .message_bytes = 200,
+                                    .timeout_ms = 60000 } };
+  bool passed;
+
+  if (!read_options (&load, argc, argv))
+    return EXIT_USAGE;
+  if (!open_load (&load))
+    return EXIT_FAILED;
+  run_load (&load);
+  load_report_executions (&load);
+  passed = load_report_write (&load);
+  close_load (&load);
+  return passed ? 0 : EXIT_FAILED;
+}
--- /dev/null
+++ b/bench/load/plan.c
@@ -0,0 +1,200 @@
+#include "plan.h"
+#include <gsl/gsl_randist.h>
+#include <math.h>
+#include <stdio.h>
+
+#define MIN_MESSAGE_BYTES 8
+#define MESSAGE_SIGMA 0.6 ///< of the lognormal size of messages
+#define TOKENS_SIGMA 0.4  ///< of the lognormal length of answers
+
+int64_t
+load_plan_gap_us (Load *load)
+{
+  return (int64_t) gsl_ran_exponential (load->random, 1e6 / load->options.rate);
+}
+
+/// Index with a probability in proportion to the weights, which are @stride bytes apart.
+static int
+pick_index (Load *load, const double *weights, size_t stride, int count)
+{
+  double sum = 0.0;
+  double at;
+
+  for (int i = 0; i < count; i++)
+    sum += *(const double *) ((const char *) weights + (size_t) i * stride);
+  at = gsl_rng_uniform (load->random) * sum;
+  for (int i = 0; i < count - 1; i++)
+    {
+      at -= *(const double *) ((const char *) weights + (size_t) i * stride);
+      if (at < 0.0)
+        return i;
+    }
+  return count - 1;
+}
+
+/// Lognormal number with a given mean.
+static double
+draw_size (Load *load, double mean, double sigma)
+{
+  return gsl_ran_lognormal (load->random, log (mean) - sigma * sigma / 2, sigma);
+}
+
+/// Appends words that need no escapes in JSON.
+static void
+append_words (GString *text, uint64_t mark, size_t size)
+{
+  size_t end = text->len + size;
+
+  for (uint64_t i = 0; text->len < end; i++)
+    g_string_append_printf (text, "%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "u ", mark, i);
+}
+
+/// Appends a user's message.
+static void
+append_message (Load *load, LoadChat *chat)
+{
+  double size = draw_size (load, load->options.message_bytes, MESSAGE_SIGMA);
+
+  g_string_append (chat->messages, ",{\"role\":\"user\",\"content\":\"");
+  append_words (chat->messages, chat->number * 1000 + chat->turns,
+                size > MIN_MESSAGE_BYTES ? (size_t) size : MIN_MESSAGE_BYTES);
+  g_string_append (chat->messages, "\"}");
+}
+
+/// Takes a chat of the account and kind whose pause is over; NULL if there is none.
+static LoadChat *
+take_chat (Load *load, const LoadAccount *account, const LoadKind *kind, int64_t now_us)
+{
+  TT_LIST_FOREACH (&load->chats, it)
+    {
+      LoadChat *chat = TT_CONTAINER_OF (it, LoadChat, link);
+
+      if (chat->account != account || chat->kind != kind || chat->due_us > now_us)
+        continue;
+      tt_list_remove (&load->chats, it);
+      return chat;
+    }
+  return NULL;
+}
+
+/// Begins a chat. All chats of an account have the same system prompt.
+static LoadChat *
+begin_chat (Load *load, const LoadAccount *account, LoadKind *kind)
+{
+  LoadChat *chat = g_new0 (LoadChat, 1);
+
+  chat->number = ++load->chat_count;
+  chat->account = account;
+  chat->kind = kind;
+  chat->turns_left = gsl_ran_geometric (load->random, 1.0 / load->options.turns);
+  chat->messages = g_string_new ("{\"role\":\"system\",\"content\":\"");
+  g_string_append_printf (chat->messages, "account %s ", account->name);
+  append_words (chat->messages, 0, (size_t) load->options.system_bytes);
+  g_string_append (chat->messages, "\"}");
+  return chat;
+}
+
+/// Makes the body of a chat's next turn.
+static void
+add_turn (Load *load, LoadRequest *request)
+{
+  LoadChat *chat = request->chat;
+  double tokens = draw_size (load, request->kind->tokens, TOKENS_SIGMA);
+
+  request->max_tokens = tokens >= 1.0 ? (uint32_t) tokens : 1;
+  append_message (load, chat);
+  chat->turns++;
+  chat->turns_left--;
+  g_string_append_printf (
+      request->body, "{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%u,\"messages\":[%s]}",
+      load->options.model, request->kind->type == LOAD_TYPE_STREAM ? "true" : "false",
+      request->max_tokens, chat->messages->str);
+}
+
+static LoadRequest *
+new_request (Load *load, LoadKind *kind, const LoadAccount *account, int64_t intended_us)
+{
+  LoadRequest *request = g_new0 (LoadRequest, 1);
+
+  request->load = load;
+  request->number = ++load->request_count;
+  request->kind = kind;
+  request->account = account;
+  request->intended_us = intended_us;
+  request->target = LOAD_NO_TARGET;
+  request->avoid = LOAD_NO_TARGET;
+  request->first_ms = -1.0;
+  request->body = g_string_new (NULL);
+  request->answer = g_string_new (NULL);
+  request->gaps = g_array_new (FALSE, FALSE, sizeof (double));
+  return request;
+}
+
+LoadRequest *
+load_plan_next (Load *load, int64_t now_us)
+{
+  LoadKind *kind = &load->kinds[pick_index (load, &load->kinds[0].weight, sizeof (LoadKind),
+                                            load->kind_count)];
+  const LoadAccount *account = &load->accounts[pick_index (
+      load, &load->accounts[0].weight, sizeof (LoadAccount), load->account_count)];
+  LoadRequest *request = new_request (load, kind, account, load->next_us);
+
+  if (kind->type == LOAD_TYPE_STREAM || kind->type == LOAD_TYPE_CHAT)
+    {
+      request->chat = take_chat (load, account, kind, now_us);
+      if (request->chat == NULL)
+        request->chat = begin_chat (load, account, kind);
+      add_turn (load, request);
+      return request;
+    }
+  (void) snprintf (request->key, sizeof request->key, "%s-%d-%" G_GINT64_MODIFIER "u",
+                   kind->type == LOAD_TYPE_GRANT ? "grant" : "call", load->options.seed,
+                   request->number);
+  if (kind->type == LOAD_TYPE_GRANT)
+    g_string_append_printf (request->body, "{\"grant\":%" G_GINT64_MODIFIER "u}", request->number);
+  return request;
+}
+
+LoadRequest *
+load_plan_repeat (const LoadRequest *first, int64_t now_us)
+{
+  LoadRequest *request = new_request (first->load, first->kind, first->account, now_us);
+
+  g_strlcpy (request->key, first->key, sizeof request->key);
+  g_string_assign (request->body, first->body->str);
+  request->repeated = true;
+  request->avoid = first->target;
+  return request;
+}
+
+void
+load_plan_free_chat (LoadChat *chat)
+{
+  if (chat == NULL)
+    return;
+  (void) g_string_free (chat->messages, TRUE);
+  g_free (chat);
+}
+
+void
+load_plan_return_chat (Load *load, LoadChat *chat, const char *answer, int64_t now_us)
+{
+  if (chat->turns_left == 0)
+    {
+      load_plan_free_chat (chat);
+      return;
+    }
+  g_string_append_printf (chat->messages, ",{\"role\":\"assistant\",\"content\":\"%s\"}", answer);
+  chat->due_us
+      = now_us + (int64_t) gsl_ran_exponential (load->random, load->options.pause_ms * 1000);
+  tt_list_append (&load->chats, &chat->link);
+}
+
+void
+load_plan_free (LoadRequest *request)
+{
+  (void) g_string_free (request->body, TRUE);
+  (void) g_string_free (request->answer, TRUE);
+  (void) g_array_free (request->gaps, TRUE);
+  g_free (request);
+}
--- /dev/null
+++ b/bench/load/report.c
@@ -0,0 +1,262 @@
+#include "report.h"
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics_double.h>
+#include <json-c/json.h>
+#include <stdio.h>
+
+static const char *const outcome_names[]
+    = { "whole", "wrong", "cut", "not_run", "unknown", "error", "timeout", "unreachable" };
+
+/// Quantile of an array, which is sorted; 0 if it is empty.
+static double
+quantile (const GArray *array, double part)
+{
+  const double *data = (const double *) (const void *) array->data;
+
+  return array->len == 0 ? 0.0 : gsl_stats_quantile_from_sorted_data (data, 1, array->len, part);
+}
+
+static void
+sort_array (GArray *array)
+{
+  gsl_sort ((double *) (void *) array->data, 1, array->len);
+}
+
+/// Appends the samples and counts of a kind of work to those of all.
+static void
+add_numbers (LoadNumbers *all, const LoadNumbers *part)
+{
+  for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+    all->outcomes[i] += part->outcomes[i];
+  g_array_append_vals (all->total, part->total->data, part->total->len);
+  g_array_append_vals (all->first, part->first->data, part->first->len);
+  g_array_append_vals (all->gaps, part->gaps->data, part->gaps->len);
+  all->tokens += part->tokens;
+  all->prompt_tokens += part->prompt_tokens;
+  all->cached_tokens += part->cached_tokens;
+  all->return_prompt_tokens += part->return_prompt_tokens;
+  all->return_cached_tokens += part->return_cached_tokens;
+}
+
+static json_object *
+describe_quantiles (GArray *array)
+{
+  json_object *object = json_object_new_object ();
+
+  sort_array (array);
+  json_object_object_add (object, "count", json_object_new_int64 (array->len));
+  json_object_object_add (object, "p50", json_object_new_double (quantile (array, 0.50)));
+  json_object_object_add (object, "p95", json_object_new_double (quantile (array, 0.95)));
+  json_object_object_add (object, "p99", json_object_new_double (quantile (array, 0.99)));
+  return object;
+}
+
+static double
+share (uint64_t part, uint64_t all)
+{
+  return all == 0 ? 0.0 : (double) part / (double) all;
+}
+
+static json_object *
+describe_numbers (LoadNumbers *numbers, double elapsed_s)
+{
+  json_object *object = json_object_new_object ();
+  json_object *outcomes = json_object_new_object ();
+  uint64_t requests = 0;
+
+  for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+    {
+      requests += numbers->outcomes[i];
+      json_object_object_add (outcomes, outcome_names[i],
+                              json_object_new_uint64 (numbers->outcomes[i]));
+    }
+  json_object_object_add (object, "requests", json_object_new_uint64 (requests));
+  json_object_object_add (object, "outcomes", outcomes);
+  json_object_object_add (object, "latency_ms", describe_quantiles (numbers->total));
+  json_object_object_add (object, "first_token_ms", describe_quantiles (numbers->first));
+  json_object_object_add (object, "token_gap_ms", describe_quantiles (numbers->gaps));
+  json_object_object_add (object, "tokens", json_object_new_uint64 (numbers->tokens));
+  json_object_object_add (
+      object, "requests_per_s",
+      json_object_new_double ((double) numbers->outcomes[LOAD_WHOLE] / elapsed_s));
+  json_object_object_add (object, "tokens_per_s",
+                          json_object_new_double ((double) numbers->tokens / elapsed_s));
+  json_object_object_add (
+      object, "cached_share",
+      json_object_new_double (share (numbers->cached_tokens, numbers->prompt_tokens)));
+  json_object_object_add (object, "cached_share_of_returns",
+                          json_object_new_double (share (numbers->return_cached_tokens,
+                                                         numbers->return_prompt_tokens)));
+  return object;
+}
+
+/// Prints one line of the table.
+static void
+print_line (const char *name, LoadNumbers *numbers)
+{
+  uint64_t requests = 0;
+
+  for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+    requests += numbers->outcomes[i];
+  (void) printf ("%-18.18s %8llu %8llu | %8.1f %8.1f %8.1f", name, (unsigned long long) requests,
+                 (unsigned long long) numbers->outcomes[LOAD_WHOLE],
+                 quantile (numbers->total, 0.50), quantile (numbers->total, 0.95),
+                 quantile (numbers->total, 0.99));
+  if (numbers->first->len > 0)
+    (void) printf (" | %7.1f %7.1f %7.1f | %5.1f %5.1f %5.1f", quantile (numbers->first, 0.50),
+                   quantile (numbers->first, 0.95), quantile (numbers->first, 0.99),
+                   quantile (numbers->gaps, 0.50), quantile (numbers->gaps, 0.95),
+                   quantile (numbers->gaps, 0.99));
+  (void) printf ("\n");
+}
+
+static void
+print_report (Load *load, LoadNumbers *all, double elapsed_s)
+{
+  (void) printf ("times in ms from the intended time of sending, so that a stalled target counts\n"
+                 "%-18s %8s %8s | %8s %8s %8s | %7s %7s %7s | %5s %5s %5s\n",
+                 "kind of work", "requests", "whole", "all p50", "p95", "p99", "1st p50", "p95",
+                 "p99", "token", "p95", "p99");
+  for (int i = 0; i < load->kind_count; i++)
+    print_line (load->kinds[i].name, &load->kinds[i].numbers);
+  print_line ("all", all);
+  for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+    if (all->outcomes[i] > 0)
+      (void) printf ("%s %llu  ", outcome_names[i], (unsigned long long) all->outcomes[i]);
+  (void) printf ("\n%.1f requests/s, %.0f tokens/s; %.1f %% of prompt tokens cached, %.1f %% of "
+                 "those of returning turns\n",
+                 (double) all->outcomes[LOAD_WHOLE] / elapsed_s, (double) all->tokens / elapsed_s,
+                 100 * share (all->cached_tokens, all->prompt_tokens),
+                 100 * share (all->return_cached_tokens, all->return_prompt_tokens));
+  (void) printf ("sending was late by %.2f ms at p99; %llu refused connections tried elsewhere\n",
+                 quantile (load->lags, 0.99), (unsigned long long) load->retries);
+  for (int i = 0; load->target_count > 1 && i < load->target_count; i++)
+    (void) printf ("%s: %llu requests\n", load->targets[i].url,
+                   (unsigned long long) load->targets[i].sent);
+  if (load->options.services != NULL)
+    (void) printf (
+        "grants %llu: ran once %llu, never %llu, more than once %llu, after \"not run\" "
+        "%llu%s\n",
+        (unsigned long long) load->executions.sent, (unsigned long long) load->executions.ran[1],
+        (unsigned long long) load->executions.ran[0], (unsigned long long) load->executions.ran[2],
+        (unsigned long long) load->executions.denied,
+        load->executions.read ? "" : " (A SERVICE COULD NOT BE READ)");
+}
+
+/// Executions of a key in all service stand-ins.
+static int64_t
+count_executions (json_object **roots, int count, const char *key)
+{
+  int64_t sum = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      json_object *keys = NULL;
+      json_object *value = NULL;
+
+      if (json_object_object_get_ex (roots[i], "keys", &keys)
+          && json_object_object_get_ex (keys, key, &value))
+        sum += json_object_get_int64 (value);
+    }
+  return sum;
+}
+
+void
+load_report_executions (Load *load)
+{
+  LoadExecutions *executions = &load->executions;
+  json_object *roots[LOAD_MAX_TARGETS] = { NULL };
+  int count = 0;
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  executions->read = true;
+  for (; count < LOAD_MAX_TARGETS && load->service_text[count] != NULL; count++)
+    {
+      roots[count] = json_tokener_parse (load->service_text[count]->str);
+      executions->read = executions->read && load->service_codes[count] == TT_OK
+                         && json_object_is_type (roots[count], json_type_object);
+    }
+  g_hash_table_iter_init (&iterator, load->grants);
+  while (count > 0 && executions->read && g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      int64_t ran = count_executions (roots, count, key);
+      int outcome = GPOINTER_TO_INT (value) - 1;
+
+      executions->sent++;
+      executions->ran[ran < 2 ? ran : 2]++;
+      executions->denied += outcome == LOAD_NOT_RUN && ran > 0;
+      executions->missing += outcome == LOAD_WHOLE && ran == 0;
+    }
+  for (int i = 0; i < count; i++)
+    json_object_put (roots[i]);
+}
+
+static bool
+has_passed (const Load *load, const LoadNumbers *all)
+{
+  const LoadExecutions *executions = &load->executions;
+  uint64_t others = 0;
+
+  for (int i = LOAD_WHOLE + 1; i < LOAD_OUTCOME_COUNT; i++)
+    others += all->outcomes[i];
+  if (load->options.all_whole && (others > 0 || executions->ran[0] > 0))
+    return false;
+  return all->outcomes[LOAD_WRONG] == 0 && all->outcomes[LOAD_CUT] == 0 && executions->read
+         && executions->ran[2] == 0 && executions->denied == 0 && executions->missing == 0;
+}
+
+static json_object *
+describe_executions (const LoadExecutions *executions)
+{
+  json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "sent", json_object_new_uint64 (executions->sent));
+  json_object_object_add (object, "never", json_object_new_uint64 (executions->ran[0]));
+  json_object_object_add (object, "once", json_object_new_uint64 (executions->ran[1]));
+  json_object_object_add (object, "more", json_object_new_uint64 (executions->ran[2]));
+  json_object_object_add (object, "after_not_run", json_object_new_uint64 (executions->denied));
+  return object;
+}
+
+bool
+load_report_write (Load *load)
+{
+  LoadNumbers all = { .total = g_array_new (FALSE, FALSE, sizeof (double)),
+                      .first = g_array_new (FALSE, FALSE, sizeof (double)),
+                      .gaps = g_array_new (FALSE, FALSE, sizeof (double)) };
+  double elapsed_s = (double) (load->last_end_us - load->start_us) / 1e6;
+  json_object *root = json_object_new_object ();
+  json_object *kinds = json_object_new_object ();
+  bool passed;
+
+  for (int i = 0; i < load->kind_count; i++)
+    {
+      add_numbers (&all, &load->kinds[i].numbers);
+      json_object_object_add (kinds, load->kinds[i].name,
+                              describe_numbers (&load->kinds[i].numbers, elapsed_s));
+    }
+  passed = has_passed (load, &all);
+  sort_array (load->lags);
+  json_object_object_add (root, "seed", json_object_new_int (load->options.seed));
+  json_object_object_add (root, "rate", json_object_new_double (load->options.rate));
+  json_object_object_add (root, "elapsed_s", json_object_new_double (elapsed_s));
+  json_object_object_add (root, "passed", json_object_new_boolean (passed));
+  json_object_object_add (root, "send_lag_ms", describe_quantiles (load->lags));
+  json_object_object_add (root, "all", describe_numbers (&all, elapsed_s));
+  json_object_object_add (root, "kinds", kinds);
+  json_object_object_add (root, "grants", describe_executions (&load->executions));
+  print_report (load, &all, elapsed_s);
+  if (load->options.json != NULL
+      && json_object_to_file_ext (load->options.json, root, JSON_C_TO_STRING_PRETTY) != 0)
+    {
+      (void) fprintf (stderr, "tt_load: %s cannot be written\n", load->options.json);
+      passed = false;
+    }
+  json_object_put (root);
+  (void) g_array_free (all.total, TRUE);
+  (void) g_array_free (all.first, TRUE);
+  (void) g_array_free (all.gaps, TRUE);
+  return passed;
+}
