--- /dev/null
+++ b/tools/processes.sh
@@ -0,0 +1,143 @@
+# Functions for scripts that run daemons and stand-ins on loopback. A script sources this file and
+# calls processes_open NAME. All processes that it starts end with the script, also when it fails or
+# is interrupted. Variables: folder, pids, limit_s, lifetime_s.
+limit_s=${LIMIT_S:-30} # for each condition that is waited for
+lifetime_s=300         # after which stand-ins end by themselves
+pids=''
+
+# Ends own processes by their ids: SIGTERM, and SIGKILL for those that are left after 3 s. A stopped
+# process takes SIGTERM only after SIGCONT.
+processes_close () {
+  trap '' INT TERM HUP
+  for pid in $pids; do kill -CONT "$pid" 2> /dev/null && kill -TERM "$pid" 2> /dev/null || true; done
+  tries=60
+  for pid in $pids; do
+    while is_running "$pid" && [ "$tries" -gt 0 ]; do
+      tries=$((tries - 1))
+      sleep 0.05
+    done
+    is_running "$pid" && kill -KILL "$pid" 2> /dev/null || true
+    wait "$pid" 2> /dev/null || true
+  done
+  [ -n "${KEEP:-}" ] || rm -rf "$folder"
+}
+
+# False for a process that ended and was not waited for, too.
+is_running () {
+  [ -r "/proc/$1/stat" ] && [ "$(sed 's/.*) //' "/proc/$1/stat" 2> /dev/null | cut -c1)" != Z ]
+}
+
+# Daemons have no lifetime of their own: ends what is left when the script was killed by SIGKILL.
+watch_parent () {
+  trap '' INT HUP
+  while kill -0 "$1" 2> /dev/null; do sleep 1; done
+  [ ! -e "$folder/pids" ] || while read -r pid; do kill -KILL "$pid" 2> /dev/null; done < "$folder/pids"
+  rm -rf "$folder"
+}
+
+processes_open () {
+  script=$1
+  folder=$(mktemp -d)
+  : > "$folder/pids"
+  trap processes_close EXIT
+  trap 'exit 130' INT TERM HUP
+  watch_parent $$ > /dev/null 2>&1 &
+  pids="$pids $!"
+}
+
+fail () {
+  echo "$script: FAILED: $*" >&2
+  [ -z "${VERBOSE:-}" ] || tail -n 30 "$folder"/*.log >&2
+  exit 1
+}
+
+# start NAME COMMAND...: runs it in the background; sets $pid and $pid_NAME
+start () {
+  name=$1
+  shift
+  "$@" > "$folder/$name.log" 2>&1 &
+  pid=$!
+  pids="$pids $pid"
+  echo "$pid" >> "$folder/pids"
+  eval "pid_$name=$pid"
+}
+
+# wait_for TEXT COMMAND...: until the command succeeds
+wait_for () {
+  text=$1
+  shift
+  end=$(($(date +%s) + limit_s))
+  until "$@" > /dev/null 2>&1; do
+    [ "$(date +%s)" -lt "$end" ] || fail "not within $limit_s s: $text"
+    sleep 0.05
+  done
+}
+
+call () { curl -s -m "$limit_s" --noproxy '*' "$@"; }
+
+# answers URL: while the process started last runs, until it answers with 200
+answers () {
+  is_running "$pid" || fail "$name ended: $(tail -n 2 "$folder/$name.log")"
+  call -f "$1"
+}
+
+start_platform () { # PORT
+  platform_url="http://127.0.0.1:$1"
+  start platform "$build/standin_platform" --port "$1" --lifetime "$lifetime_s"
+  wait_for 'the platform answers' answers "$platform_url/control/stats"
+}
+
+hosts=''
+add_host () { hosts="$hosts${hosts:+,}$1"; }
+
+start_engine () { # NAME PORT DOMAIN MODEL BATCH OPTION...
+  engine=$1 port=$2 batch=$5
+  add_host "$(printf '{"name":"%s","address":"127.0.0.1","port":%d,"domain":"%s","service":"%s","weight":1,"batch_limit":%d,"fencing":true}' \
+    "$1" "$2" "$3" "$4" "$5")"
+  shift 5
+  start "$engine" "$build/standin_engine" --port "$port" --lifetime "$lifetime_s" --batch "$batch" \
+    "$@"
+  wait_for "$engine answers" answers "http://127.0.0.1:$port/load"
+}
+
+start_service () { # NAME PORT DOMAIN SERVICE
+  add_host "$(printf '{"name":"%s","address":"127.0.0.1","port":%d,"domain":"%s","service":"%s","weight":1,"batch_limit":16,"fencing":true}' \
+    "$1" "$2" "$3" "$4")"
+  start "$1" "$build/standin_service" --port "$2" --lifetime "$lifetime_s"
+  wait_for "$1 answers" answers "http://127.0.0.1:$2/executions"
+}
+
+# add_daemon NAME PORT DOMAIN [ANNOUNCE-MS [READ-TIMEOUT-MS]]: settings and an entry in the host
+# list. Its operators' port is PORT + 1, its peers' port PORT + 2.
+add_daemon () {
+  add_host "$(printf '{"name":"%s","address":"127.0.0.1","port":%d,"domain":"%s","entry_host":true}' \
+    "$1" $(($2 + 2)) "$3")"
+  cat > "$folder/$1.json" << SETTINGS
+{ "fleet": "$script", "name": "$1", "domain": "$3", "region": "r1",
+  "caller": { "address": "127.0.0.1", "port": $2 },
+  "operator": { "address": "127.0.0.1", "port": $(($2 + 1)) },
+  "peer": { "address": "127.0.0.1", "port": $(($2 + 2)) },
+  "platform": { "url": "$platform_url" },
+  "limits": { "body_bytes": 262144, "header_bytes": 8192, "read_timeout_ms": ${5:-10000} },
+  "drain": { "announce_ms": ${4:-1000} } }
+SETTINGS
+}
+
+set_hosts () {
+  printf '{"hosts":[%s]}' "$hosts" > "$folder/hosts.json"
+  call -f -X POST --data-binary "@$folder/hosts.json" "$platform_url/control/hosts" > /dev/null ||
+    fail 'the platform refused the host list'
+}
+
+start_daemon () { start "$1" "$build/tarragontrackd" --settings "$folder/$1.json"; }
+
+wait_ready () { # PORT
+  wait_for "the daemon at port $1 is ready" call -f "http://127.0.0.1:$(($1 + 1))/readyz"
+}
+
+# wait_end NAME: waits for a process of this script; sets $code to its exit code
+wait_end () {
+  eval "pid=\$pid_$1"
+  code=0
+  wait "$pid" || code=$?
+}
