--- a/bench/load/load_defs.h
+++ b/bench/load/load_defs.h
@@ -112,6 +112,7 @@
   double first_ms; ///< time to the first token; below 0 = none yet
   GArray *gaps;    ///< double, milliseconds
   uint32_t tries;  ///< targets that took no connection
+  uint32_t asks;   ///< answers "unknown" to a repeated grant
   int target;      ///< index; LOAD_NO_TARGET before the first try
   int avoid;       ///< target of the first sending of a repeated grant
   bool repeated;   ///< second sending of a grant
@@ -172,6 +173,7 @@
   uint64_t request_count;
   uint64_t open;
   uint64_t retries;   ///< connections that were refused and tried at another target
+  uint64_t asked;     ///< repeated grants that were sent once more after the outcome "unknown"
   GArray *lags;       ///< double; how late requests were sent, milliseconds
   GHashTable *grants; ///< key to outcome + 1 of its last sending
   int64_t start_us;
--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -136,10 +136,10 @@
   if (load->options.services != NULL)
     (void) printf (
         "grants %llu: ran once %llu, never %llu, more than once %llu, after \"not run\" "
-        "%llu%s\n",
+        "%llu; asked again after \"unknown\" %llu%s\n",
         (unsigned long long) load->executions.sent, (unsigned long long) load->executions.ran[1],
         (unsigned long long) load->executions.ran[0], (unsigned long long) load->executions.ran[2],
-        (unsigned long long) load->executions.denied,
+        (unsigned long long) load->executions.denied, (unsigned long long) load->asked,
         load->executions.read ? "" : " (A SERVICE COULD NOT BE READ)");
 }
 
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/board/hash.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
 
@@ -36,6 +37,12 @@
                            "no document in force has this service");
       (void) tt_request_finish (board, request, TT_OUTCOME_INVALID, 404, 0, &error);
     }
+  else if (!request->idempotent && tt_id128_is_zero (spec->idempotency_key))
+    {
+      (void) tt_error_set (&error, TT_E_INVALID, TT_STEP_ADMIT, spec->service,
+                           "work that runs at most once needs an Idempotency-Key");
+      (void) tt_request_finish (board, request, TT_OUTCOME_INVALID, 400, 0, &error);
+    }
 }
 
 static void
@@ -54,7 +61,12 @@
   (void) context;
   (void) now_us;
   while ((link = tt_list_first (&board->requests.stages[TT_STAGE_ARRIVED])) != NULL)
-    tt_request_set_stage (board, TT_CONTAINER_OF (link, TtRequest, stage_link), TT_STAGE_READY);
+    {
+      TtRequest *request = TT_CONTAINER_OF (link, TtRequest, stage_link);
+
+      tt_request_set_stage (board, request,
+                            request->idempotent ? TT_STAGE_READY : TT_STAGE_CLAIMING);
+    }
 }
 
 TtController
--- a/test/control/path_test.c
+++ b/test/control/path_test.c
@@ -1,5 +1,6 @@
 #include "support/unit.h"
 #include "support/world.h"
+#include "tarragontrack/board/request.h"
 
 #define START_US (100 * TT_SECOND_US)
 
@@ -67,7 +68,30 @@
   tt_board_free (board);
 }
 
+/// Guards against a grant that is dispatched without a claim, and so runs twice on two routers.
+static void
+claim_before_dispatch (void)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+  TtRequestSpec spec = { .account = "small", .service = "ledger" };
+  TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
+  TtAction action;
+
+  world_start (board, 1, START_US);
+  spec.request_id = tt_board_next_id (board);
+  tt_board_step (board, &event, START_US);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world_next (board, TT_ACTION_REPLY, &action));
+  CU_ASSERT_EQUAL (action.reply.status, 400);
+  spec.request_id = tt_board_next_id (board);
+  spec.idempotency_key.low = 7;
+  tt_board_step (board, &event, START_US);
+  CU_ASSERT_EQUAL (tt_request_find (board, spec.request_id)->stage, TT_STAGE_CLAIMING);
+  CU_ASSERT_PTR_NULL (world_next (board, TT_ACTION_DISPATCH, &action));
+  tt_board_free (board);
+}
+
 static const UnitTest tests[] = {
+  { "a grant waits for its claim", claim_before_dispatch },
   { "a request is dispatched, relayed and ended", serve_request },
   { "routers agree on a chat's home", agree_on_home },
   { "an unknown service is refused at once", refuse_unknown_service },
--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -321,6 +321,8 @@
   call_world ("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
               "Content-Length: 2\r\n\r\n{}");
   CU_ASSERT (has ("HTTP/1.1 400"));
+  // Without a length, a truncated error looks whole.
+  CU_ASSERT (has ("Content-Length: "));
   CU_ASSERT (has ("x-outcome: not-run"));
   CU_ASSERT (has ("invalid_request_error"));
   close_world ();
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -71,7 +71,10 @@
     "$1/licensing/grants" || true
 }
 first=$(grant "$d1") && echo "d1 answers $first: $(cat "$folder/answer")"
-again=$(grant "$d3") && echo "d3 answers $again: $(cat "$folder/answer")"
+# The outcome is recorded right after the answer; until then another daemon answers "unknown".
+known () { again=$(grant "$d3") && [ "$again" != 409 ]; }
+wait_for 'the outcome of the grant is recorded' known
+echo "d3 answers $again: $(cat "$folder/answer")"
 ran=0
 for zone in 1 2 3; do
   ran=$((ran + $(call "http://127.0.0.1:$((base + 10 * zone + 3))/executions" |
--- /dev/null
+++ b/tools/process-test.sh
@@ -0,0 +1,196 @@
+#!/bin/sh
+# Checks of real processes beyond smoke.sh: drain, kill -9, pause, bad input, two operators at once,
+# and whether the load tool notices a fault. Each check waits for conditions, not for times.
+# Usage: process-test.sh [BUILD] [BASE-PORT]
+set -eu
+cd "$(dirname "$0")/.."
+build=${1:-build}
+base=${2:-18600}
+. tools/processes.sh
+processes_open process-test
+passed () { echo "process-test: passed: $*"; }
+has () { grep -q "$2" "$folder/$1" || { cat "$folder/$1" >&2; fail "$3"; }; }
+chat () { # STREAM TOKENS TEXT
+  printf '{"model":"clearance-writer","stream":%s,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}' \
+    "$1" "$2" "$3"
+}
+post_chat () { # URL STREAM TOKENS TEXT
+  call -i -N -H 'X-Client-Account: pitch-desk' -d "$(chat "$2" "$3" "$4")" "$1/v1/chat/completions"
+}
+post_grant () { # URL KEY
+  call -i -X POST -H 'X-Client-Account: contracts' -H 'X-Work-Kind: licence-grant' \
+    -H "Idempotency-Key: $2" -d '{"work":"raga"}' "$1/licensing/grants"
+}
+executions () { # KEY
+  count=$(call "$licensing/executions" | grep -o "\"$1\":[0-9]*" | cut -d: -f2)
+  echo "${count:-0}"
+}
+ran () { [ "$(executions "$1")" -ge 1 ]; }
+tokens () { grep -c '"content"' "$folder/$1"; }
+expect_code () { # NAME CODE WHAT: exit code of a process of this script
+  wait_end "$1"
+  [ "$code" = "$2" ] || fail "$3: exit code $code"
+}
+
+start_platform "$base"
+start_engine engine_1 $((base + 1)) z1 clearance-writer 16 --token-ms 10
+start_engine engine_2 $((base + 2)) z1 clearance-writer 16 --token-ms 10
+start_service licensing $((base + 3)) z1 licensing
+licensing="http://127.0.0.1:$((base + 3))"
+for n in 1 2 3; do add_daemon "d$n" $((base + 10 * n)) z1 300 1000; done
+set_hosts
+for n in 1 2 3; do
+  eval "d$n=http://127.0.0.1:$((base + 10 * n))"
+  start_daemon "d$n"
+done
+"$build/tarragonctl" apply --platform "$platform_url" --author first examples/raagmala.json > "$folder/apply.log" ||
+  fail 'the document is applied'
+for n in 1 2 3; do wait_ready $((base + 10 * n)); done
+
+check_operators () {
+  sed 's/"weight": 4/"weight": 5/' examples/raagmala.json > "$folder/one.json"
+  sed 's/"weight": 4/"weight": 6/' examples/raagmala.json > "$folder/two.json"
+  start one "$build/tarragonctl" apply --platform "$platform_url" --author one --base 1 "$folder/one.json"
+  start two "$build/tarragonctl" apply --platform "$platform_url" --author two --base 1 "$folder/two.json"
+  wait_end one && first=$code
+  wait_end two && second=$code
+  [ "$first$second" = 03 ] || [ "$first$second" = 30 ] ||
+    fail "two operators at once: exit codes $first and $second, not 0 and 3"
+  call "$platform_url/objects/config/head" > "$folder/head"
+  has head '"epoch": *2' 'only one of two changes is in the head'
+  winner=5
+  [ "$first" = 0 ] || winner=6
+  "$build/tarragonctl" fetch --platform "$platform_url" --output "$folder/fetched.json" raagmala > /dev/null
+  has fetched.json "\"weight\": $winner" 'the document is that of the first operator'
+  sed 's/"weight": 4/"weight": 7/' examples/raagmala.json > "$folder/late.json"
+  start late "$build/tarragonctl" apply --platform "$platform_url" --author late --base 1 "$folder/late.json"
+  expect_code late 3 'a change with an old base'
+  call "$platform_url/objects/config/head" > "$folder/head2"
+  cmp -s "$folder/head" "$folder/head2" || fail 'a refused change alters the head'
+  passed 'the second of two operators gets exit code 3 and writes nothing'
+}
+
+# bad NAME STATUS REASON: the answer has the status and names the reason, and the daemon stays up
+bad () {
+  has "$1" "^HTTP/1.1 $2" "$1: status $2"
+  has "$1" "$3" "$1: an error with a reason"
+  call -f "http://127.0.0.1:$((base + 11))/healthz" > /dev/null || fail "$1: the daemon stays up"
+}
+# raw TEXT FILE: sends bytes as they are, and keeps the connection open until the daemon closes it
+raw () {
+  printf '%b' "$1" > "$folder/raw"
+  call -i -T "$folder/raw" "telnet://127.0.0.1:$((base + 10))" > "$folder/$2" < "$folder/raw" || true
+}
+check_bad_input () {
+  url="$d1/v1/chat/completions"
+  head -c 300000 /dev/zero | tr '\0' ' ' > "$folder/large"
+  call -i -H 'Expect:' --data-binary "@$folder/large" "$url" > "$folder/oversized"
+  bad oversized 413 'too large'
+  call -i -H "X-Large: $(head -c 9000 /dev/zero | tr '\0' x)" -d "$(chat false 1 a)" "$url" \
+    > "$folder/headers"
+  bad headers 431 '"message":".*too large'
+  call -i -H 'X-Client-Account: pitch-desk' -d '{"model":' "$url" > "$folder/malformed"
+  bad malformed 400 '"message":"..*"'
+  has malformed '^x-outcome: not-run' 'malformed JSON did not run'
+  call -i -H 'X-Client-Account: pitch-desk' -d '{"model":"none","messages":[{"role":"user","content":"a"}]}' \
+    "$url" > "$folder/model"
+  bad model 404 '"message":".*service'
+  has model '^x-outcome: not-run' 'a request for an unknown model did not run'
+  call -i -X POST -H 'X-Client-Account: contracts' -H 'X-Work-Kind: licence-grant' -d '{}' \
+    "$d1/licensing/grants" > "$folder/keyless"
+  bad keyless 400 '"message":".*Idempotency-Key'
+  passed 'bad input gets a clear error'
+}
+
+check_slow_input () {
+  before=$(call "$licensing/executions" | grep -o '"total":[0-9]*')
+  head='POST /licensing/grants HTTP/1.1\r\nHost: a\r\nX-Client-Account: contracts\r\nIdempotency-Key: slow'
+  # The body never comes to its stated end; then a head without its end. read_timeout_ms is 1000.
+  raw "$head\r\nContent-Length: 50\r\n\r\n{\"a\":" truncated
+  raw "$head" slow
+  call -f "http://127.0.0.1:$((base + 11))/healthz" > /dev/null || fail 'the daemon stays up'
+  [ "$(call "$licensing/executions" | grep -o '"total":[0-9]*')" = "$before" ] ||
+    fail 'an incomplete request is run'
+  passed 'an incomplete request is closed and not run'
+}
+
+check_kill () {
+  call -X POST -d '{"delay_ms":700}' "$licensing/control" > /dev/null
+  start killed post_grant "$d2" key-kill
+  wait_for 'the grant runs' ran key-kill
+  kill -KILL "$pid_d2"
+  wait_end d2
+  wait_end killed
+  for _ in 1 2 3; do
+    post_grant "$d3" key-kill > "$folder/again" || fail 'the other daemon answers'
+    has again '^x-outcome: unknown' 'a grant of a killed daemon is unknown at another one'
+  done
+  call -X POST -d '{"delay_ms":5}' "$licensing/control" > /dev/null
+  [ "$(executions key-kill)" = 1 ] || fail "a grant ran $(executions key-kill) times"
+  post_grant "$d3" key-kill > "$folder/later"
+  [ "$(executions key-kill)" = 1 ] || fail "a grant ran $(executions key-kill) times"
+  start_daemon d2
+  wait_ready $((base + 20))
+  passed 'a grant of a killed daemon runs once'
+}
+
+# Streams of d2 run for 10 s while it is stopped; it must not use what expired meanwhile.
+check_pause () {
+  start paused post_chat "$d2" true 60 pause
+  wait_for 'a stream begins' grep -q '"content"' "$folder/paused.log"
+  kill -STOP "$pid_d2"
+  sleep 10 & wait $!
+  kill -CONT "$pid_d2"
+  wait_end paused
+  # Whole, or an explicit error: a gap of 10 s is longer than progress_timeout_ms.
+  grep -q 'data: \[DONE\]' "$folder/paused.log" || has paused.log '"error"' 'a paused stream has no end'
+  if grep -q 'data: \[DONE\]' "$folder/paused.log"; then
+    [ "$(tokens paused.log)" = 60 ] || fail "a paused stream has $(tokens paused.log) of 60 tokens"
+  fi
+  wait_ready $((base + 20))
+  post_chat "$d2" true 10 resumed > "$folder/resumed"
+  has resumed 'data: \[DONE\]' 'a resumed daemon serves'
+  post_grant "$d2" key-resumed > "$folder/grant"
+  has grant '^x-outcome: complete' 'a resumed daemon runs a grant'
+  [ "$(executions key-resumed)" = 1 ] || fail 'a grant after a pause runs once'
+  passed 'a daemon that was stopped for 10 s goes on'
+}
+
+check_drain () {
+  for n in 1 2 3 4; do start "drain_$n" post_chat "$d1" true 200 "drain $n"; done
+  for n in 1 2 3 4; do
+    wait_for 'streams begin' grep -q '"content"' "$folder/drain_$n.log"
+  done
+  kill -TERM "$pid_d1"
+  for n in 1 2 3 4; do
+    wait_end "drain_$n"
+    has "drain_$n.log" 'data: \[DONE\]' 'a stream of a draining daemon is whole'
+    [ "$(tokens "drain_$n.log")" = 200 ] || fail 'a draining daemon loses a token'
+  done
+  expect_code d1 0 'a drained daemon'
+  passed 'a drain cuts no stream'
+}
+
+check_load_tool () {
+  target="--target $d3,http://127.0.0.1:$((base + 31))"
+  options="--model clearance-writer --kind pitch:1:stream:20 --account pitch-desk:1 --rate 20"
+  # shellcheck disable=SC2086
+  start whole "$build/tt_load" $target $options --duration 2 --all-whole
+  expect_code whole 0 'the load tool with whole answers'
+  # Straight to an engine that cuts one stream: the load tool must notice.
+  call -X POST -d '{"cut_after":3}' "http://127.0.0.1:$((base + 1))/control" > /dev/null
+  # shellcheck disable=SC2086
+  start cut "$build/tt_load" --target "http://127.0.0.1:$((base + 1))" $options --duration 1
+  expect_code cut 1 'the load tool with a cut answer'
+  has cut.log 'cut 1' 'the load tool counts a cut answer'
+  passed 'the load tool accepts whole answers and reports a cut one'
+}
+
+check_operators
+check_bad_input
+check_slow_input
+check_kill
+check_pause
+check_drain
+check_load_tool
+echo 'process-test: passed'
