--- a/src/tarragontrack/board/config_defs.h
+++ b/src/tarragontrack/board/config_defs.h
@@ -61,6 +61,8 @@
   int64_t stepped_us;      ///< time of the last event
   int64_t woke_us;         ///< end of the last pause of this daemon; 0 = none
   bool changed;            ///< set in the step in which a document came into force
+  uint32_t unanswered;     ///< platform calls without an answer in a row
+  bool platform_lost;      ///< several calls in a row had no answer
   int64_t contact_us;      ///< start of the last read of the head that showed nothing missing here;
                            ///< 0 = none yet
   int64_t rejoin_us;       ///< first read of the head after a long loss of contact
--- a/src/tarragontrack/control/config.c
+++ b/src/tarragontrack/control/config.c
@@ -16,6 +16,8 @@
 /// A daemon that has known of a newer epoch for this long without getting it reads the platform.
 #define BEHIND_US (2 * TT_SECOND_US)
 #define RETRY_US (500 * TT_MILLISECOND_US)
+/// Calls without an answer in a row after which the platform counts as lost.
+#define LOST_CALLS 3
 #define CALL_LIMIT_US (10 * TT_SECOND_US)
 /// The front end ends a watch before this time.
 #define WATCH_LIMIT_US (120 * TT_SECOND_US)
@@ -146,6 +148,22 @@
   (void) tt_config_apply (board, &document, now_us);
 }
 
+/// Logs when the platform stops answering and when it answers again.
+static void
+note_platform (TtBoard *board, const TtPlatformEvent *answer)
+{
+  TtConfigSection *section = &board->configuration;
+  bool answered = answer->code != TT_E_TIMEOUT && answer->code != TT_E_UNAVAILABLE;
+
+  section->unanswered = answered ? 0 : section->unanswered + 1;
+  if (answered && section->platform_lost)
+    tt_board_log (board, TT_LOG_PLATFORM_BACK, "daemon=%s", board->config.name);
+  else if (!section->platform_lost && section->unanswered == LOST_CALLS)
+    tt_board_log (board, TT_LOG_PLATFORM_LOST, "daemon=%s calls=%d", board->config.name,
+                  LOST_CALLS);
+  section->platform_lost = section->unanswered >= LOST_CALLS;
+}
+
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
@@ -158,6 +176,7 @@
     tt_config_peer (board, event->peer, now_us);
   if (event->type != TT_EVENT_PLATFORM)
     return;
+  note_platform (board, &event->platform);
   if (section->head_call != 0 && event->platform.call_id == section->head_call)
     take_head_answer (board, &event->platform, false, now_us);
   else if (section->watch_call != 0 && event->platform.call_id == section->watch_call)
--- a/test/control/path_test.c
+++ b/test/control/path_test.c
@@ -73,7 +73,7 @@
 claim_before_dispatch (void)
 {
   TtBoard *board = world_board ("router-1", "alpha");
-  TtRequestSpec spec = { .account = "small", .service = "ledger" };
+  TtRequestSpec spec = { .account = "small", .service = "chat", .kind = "grant" };
   TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
   TtAction action;
 
