fix(test): the load tool's check waits for slots after the change of keepers

Cause: the next keeper of an engine lends nothing for one loan time; the load started inside it. Change: the check waits until the remaining daemon has free slots.

--- a/tools/process-test.sh
+++ b/tools/process-test.sh
@@ -175,7 +175,11 @@
   passed 'a drain cuts no stream'
 }
 
+has_slots () { call "http://127.0.0.1:$((base + 31))/status" | grep -q '"free_slots": *[1-9]'; }
+
 check_load_tool () {
+  # d1 and d2 are gone; the next keeper of their engines lends nothing for one loan time.
+  wait_for 'engines are lent again after the change of keepers' has_slots
   target="--target $d3,http://127.0.0.1:$((base + 31))"
   options="--model clearance-writer --kind pitch:1:stream:20 --account pitch-desk:1 --rate 20"
   # shellcheck disable=SC2086
