--- a/bench/support/router.c
+++ b/bench/support/router.c
@@ -164,7 +164,11 @@
   uint32_t target = (uint32_t) action->port - 7000;
   TtPeerMessage *copy;
 
-  sim->sent_bytes[router] += sim_peer_size (action->message);
+  if (sim->config.peer_size != NULL)
+    sim->sent_bytes[router]
+        += sim->config.peer_size (sim->config.context, router, target, action->message);
+  else
+    sim->sent_bytes[router] += sim_peer_size (action->message);
   sim->result.peer_messages += sim->measuring;
   if (target >= sim->config.routers || tt_rng_unit (&sim->noise) < sim->config.loss)
     return;
--- a/bench/support/sim.h
+++ b/bench/support/sim.h
@@ -112,6 +112,9 @@
   void (*sample) (void *context, Sim *sim, int64_t now_us);
   /// Changes the document before the boards start.
   void (*document) (void *context, TtDocument *document);
+  /// Size in bytes of a peer message that router @from sends to router @to; without it the sizes
+  /// are estimates.
+  uint32_t (*peer_size) (void *context, uint32_t from, uint32_t to, const TtPeerMessage *message);
 } SimConfig;
 
 typedef struct
