fix(retry): a retry tries each backend server once before it returns to one

A request that two dead backend servers refused alternated between them, because only the last one was avoided. The request keeps the backend servers of its failed attempts, and place avoids all of them while another one can be used; otherwise only the last one, as before.

--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -32,6 +32,7 @@
   TtBackendServer *preferred; ///< where the chat was last served; NULL if unknown
   TtPlaceReason preferred_reason;
   uint64_t home_id;
+  bool avoid_tried; ///< a backend server that can be used has not failed this request yet
 } Decision;
 
 /// True if the backend server has another request that a crash made suspect.
@@ -52,8 +53,9 @@
 
   if (!tt_slot_usable (backend) || backend->pool != request->pool)
     return false;
-  if (request->attempt_count > 0 && request->retry.last_backend_id == backend->id
-      && request->pool->place.count > 1)
+  if (decision->avoid_tried
+          ? tt_slot_tried (request, backend)
+          : request->pool->place.count > 1 && tt_slot_failed_last (request, backend))
     return false;
   if (request->length.is_long && request->pool->spec.type == TT_SERVICE_MODEL
       && backend->share.long_used >= tt_slot_long_cap (decision->board, backend))
@@ -303,7 +305,10 @@
 {
   const TtPool *pool = request->pool;
   TtCandidates local = tt_rank_candidates (board, pool, true);
-  Decision decision = { .board = board, .request = request, .now_us = now_us };
+  Decision decision = { .board = board,
+                        .request = request,
+                        .now_us = now_us,
+                        .avoid_tried = tt_slot_has_untried (request) };
   uint64_t key = request->spec.chat_key != 0 ? request->spec.chat_key : request->spec.request_id;
 
   if (pool->spec.type == TT_SERVICE_PLAIN)
--- a/src/tarragontrack/control/retry.h
+++ b/src/tarragontrack/control/retry.h
@@ -18,5 +18,9 @@
 void tt_retry_end_attempt (TtBoard *board, TtRequest *request, const TtError *error,
                            int64_t now_us);
 
+/// Notes that an attempt failed there, so that `place` avoids the backend server while others
+/// exist.
+void tt_retry_note_tried (TtRequest *request, const TtBackendServer *backend);
+
 /// Starts hedges, moves streams off ejected engines, ends silent attempts and late retries.
 void tt_retry_check (TtBoard *board, int64_t now_us);
--- a/src/tarragontrack/control/retry_second.c
+++ b/src/tarragontrack/control/retry_second.c
@@ -18,6 +18,14 @@
   RETRY_AFTER_MS = 1000
 };
 
+void
+tt_retry_note_tried (TtRequest *request, const TtBackendServer *backend)
+{
+  TtRetryRequest *retry = &request->retry;
+
+  retry->tried[retry->tried_count++ % TT_RETRY_TRIED] = backend->id;
+}
+
 /// True if part of the answer was relayed and the rest can come from another engine.
 static bool
 is_resumable (const TtRequest *request)
@@ -114,7 +122,7 @@
   request->retry.sent = true;
   if (request->claim.step != TT_CLAIM_STEP_NONE)
     request->claim.sent = true;
-  request->retry.last_backend_id = attempt->backend->id;
+  tt_retry_note_tried (request, attempt->backend);
   tt_attempt_cancel (board, attempt);
   tt_retry_end_attempt (board, request, &error, now_us);
 }
@@ -199,7 +207,7 @@
       || request->relayed_tokens + MOVE_TOKENS_MIN > request->length.predicted_tokens
       || board->retry.tokens < 1.0 + HEDGE_RESERVE)
     return false;
-  request->retry.last_backend_id = attempt->backend->id;
+  tt_retry_note_tried (request, attempt->backend);
   tt_attempt_cancel (board, attempt);
   repeat_request (board, request, now_us);
   request->retry.not_before_us = now_us;
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -1,4 +1,5 @@
 #include "tarragontrack/control/slot.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/hash.h"
 #include "tarragontrack/control/progress.h"
 #include <math.h>
@@ -59,3 +60,38 @@
     room = backend->batch_limit;
   return (uint32_t) room / members;
 }
+
+bool
+tt_slot_tried (const TtRequest *request, const TtBackendServer *backend)
+{
+  const TtRetryRequest *retry = &request->retry;
+
+  for (uint32_t i = 0; i < retry->tried_count && i < TT_RETRY_TRIED; i++)
+    if (retry->tried[i] == backend->id)
+      return true;
+  return false;
+}
+
+bool
+tt_slot_failed_last (const TtRequest *request, const TtBackendServer *backend)
+{
+  const TtRetryRequest *retry = &request->retry;
+
+  return retry->tried_count > 0
+         && retry->tried[(retry->tried_count - 1) % TT_RETRY_TRIED] == backend->id;
+}
+
+bool
+tt_slot_has_untried (const TtRequest *request)
+{
+  if (request->retry.tried_count == 0)
+    return true;
+  TT_LIST_FOREACH (&request->pool->backends, it)
+    {
+      const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (tt_slot_usable (backend) && !tt_slot_tried (request, backend))
+        return true;
+    }
+  return false;
+}
--- a/src/tarragontrack/control/slot.h
+++ b/src/tarragontrack/control/slot.h
@@ -20,3 +20,12 @@
 
 /// Slots of a daemon whose keeper cannot be reached: its part of the last known room.
 uint32_t tt_slot_fallback (const TtBoard *board, const TtBackendServer *backend, int64_t now_us);
+
+/// True if an attempt of the request failed on the backend server; see TT_RETRY_TRIED.
+bool tt_slot_tried (const TtRequest *request, const TtBackendServer *backend);
+
+/// True if the request's last failed attempt was on the backend server.
+bool tt_slot_failed_last (const TtRequest *request, const TtBackendServer *backend);
+
+/// True if the request's service has a usable backend server on which no attempt failed.
+bool tt_slot_has_untried (const TtRequest *request);
--- a/test/control/retry_test.c
+++ b/test/control/retry_test.c
@@ -101,6 +101,46 @@
   tt_board_free (board);
 }
 
+/// Guards against a retry that returns to a dead engine while one is left that it has not tried.
+static void
+try_each_engine_once (void)
+{
+  TtBoard *board = open_board ();
+  uint64_t tried[4] = { 0 };
+
+  (void) drive_request (board, "small", "", 1, T0);
+  for (int i = 0; i < 4; i++)
+    {
+      TtAttemptAction attempt = drive_dispatch (board);
+      int64_t now_us = T0 + i * TT_SECOND_US;
+
+      CU_ASSERT_NOT_EQUAL_FATAL (attempt.attempt_id, 0);
+      tried[i] = attempt.backend_id;
+      for (int j = 0; j < i; j++)
+        CU_ASSERT_NOT_EQUAL (tried[j], tried[i]);
+      drive_fail (board, attempt.attempt_id, TT_E_UNAVAILABLE, false, now_us);
+      drive_ticks (board, now_us, now_us + 400 * TT_MILLISECOND_US);
+    }
+  CU_ASSERT_EQUAL (drive_reply (board).outcome, TT_OUTCOME_NOT_RUN);
+  tt_board_free (board);
+}
+
+/// Guards against a retry that ends because all engines that can be used have failed it once.
+static void
+return_to_tried_engine (void)
+{
+  TtBoard *board = world_board ("router-1", "alpha");
+  TtAttemptAction attempt;
+
+  world_start (board, 1, T0);
+  (void) drive_request (board, "small", "", 1, T0);
+  attempt = drive_dispatch (board);
+  drive_fail (board, attempt.attempt_id, TT_E_UNAVAILABLE, false, T0);
+  drive_ticks (board, T0, T0 + 400 * TT_MILLISECOND_US);
+  CU_ASSERT_NOT_EQUAL (drive_dispatch (board).attempt_id, 0);
+  tt_board_free (board);
+}
+
 /// Guards against an engine that holds a request without progress, before or inside a stream.
 static void
 find_silent_connections (void)
@@ -201,6 +241,8 @@
 }
 
 static const UnitTest tests[] = {
+  { "a retry tries each engine once", try_each_engine_once },
+  { "a retry may return if no other engine is left", return_to_tried_engine },
   { "work is repeated and streams resumed elsewhere", repeat_and_resume },
   { "work that may have run is not repeated", never_repeat_grants },
   { "work that was not sent is tried again", repeat_unsent_grant },
