fix(gossip,share): control traffic below 11 KB/s for the busiest daemon

Cause: a gossip message carried 20 loads, which are only used without a keeper and up to 60 s later; each ASK renewed all loans at its keeper, although most were fresh; gateways with ten other failure domains exchanged ten messages a second filled with counts.

A message has 4 loads and 8 counts, an ASK renews loans older than 0.8 s, a gateway of more than five failure domains sends 3 sums. Fan-out stays 2: with fan-out 1 a message's entries renew a third of 33 members a second, too few for the suspicion after 5 s.

--- a/src/tarragontrack/control/gossip.c
+++ b/src/tarragontrack/control/gossip.c
@@ -3,12 +3,18 @@
 #include "tarragontrack/control/member.h"
 #include <string.h>
 
-/// Two messages a second are sent and, on average, two are received; with 1,300 bytes each, that
-/// is 5.2 KB/s, which leaves room for gateways and shares within 11 KB/s.
-#define MESSAGE_BYTES 1300
+/// Two messages a second are sent and, on average, two are received; with 900 bytes each, that
+/// is 3.6 KB/s, which leaves room for gateways and shares within 11 KB/s.
+#define MESSAGE_BYTES 900
 #define FANOUT 2
-#define LOADS_PER_MESSAGE 20
-#define ACCOUNTS_PER_MESSAGE 14
+/// Loads are used only without a keeper, up to 60 s later: those that a daemon keeps itself at the
+/// target size, and one or two to pass on.
+#define LOADS_PER_MESSAGE 4
+#define ACCOUNTS_PER_MESSAGE 8
+/// Sums of client accounts in a gateway's message while there are more failure domains than
+/// MANY_DOMAINS: a gateway sends and receives one message for each of them in two seconds.
+#define MANY_DOMAINS 5
+#define SUMS_FEW 3
 #define SUSPECTS_PER_MESSAGE 4
 #define LEAVING_PER_MESSAGE 16
 /// Loads and account counts told by their owner itself within this time are passed on once.
@@ -361,11 +367,12 @@
 static void
 add_sums (TtBoard *board, TtPeerGossip *gossip)
 {
+  uint32_t limit = board->roster.domain_count > MANY_DOMAINS ? SUMS_FEW : ACCOUNTS_PER_MESSAGE;
   uint32_t skip = 0;
 
   if (board->admit.accounts.count == 0)
     return;
-  if (board->admit.accounts.count > ACCOUNTS_PER_MESSAGE)
+  if (board->admit.accounts.count > limit)
     skip = (uint32_t) tt_rng_below (&board->rng, board->admit.accounts.count);
   TT_LIST_FOREACH (&board->admit.accounts, it)
     {
@@ -373,7 +380,7 @@
 
       if (skip > 0)
         skip--;
-      else if (account->fleet_in_flight > 0 && gossip->account_count < ACCOUNTS_PER_MESSAGE)
+      else if (account->fleet_in_flight > 0 && gossip->account_count < limit)
         gossip->accounts[gossip->account_count++]
             = (TtPeerAccount){ account->spec.id, board->domain_id, domain_sum (board, account) };
     }
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -9,6 +9,9 @@
 /// loan of TT_LOAN_PERIOD_US ends.
 #define RENEW_US (1600 * TT_MILLISECOND_US)
 #define RETRY_US (200 * TT_MILLISECOND_US)
+/// An ASK for waiting requests renews the loans that are older than this with it. To renew all of
+/// them each time took half of the bytes of an ASK to the keeper of many engines.
+#define RENEW_WITH_US (800 * TT_MILLISECOND_US)
 /// While a request waits, an ASK without an answer is repeated sooner: the round trip inside a
 /// failure domain is below a millisecond, so that the message was lost.
 #define WANTED_RETRY_US (8 * TT_MILLISECOND_US)
@@ -148,6 +151,18 @@
   return NULL;
 }
 
+/// True if an ASK to its keeper has to name this backend server.
+static bool
+is_ask_due (const TtBackendServer *backend, int64_t now_us)
+{
+  const TtShareBackend *share = &backend->share;
+
+  if (!has_interest (backend))
+    return false;
+  return backend->place.waiting > 0 || share->ask_sequence != 0
+         || now_us - share->asked_us >= RENEW_WITH_US;
+}
+
 /// Adds one backend server to an ASK.
 static void
 add_slot (TtBoard *board, TtPeerShare *message, TtBackendServer *backend, int64_t now_us)
@@ -186,7 +201,7 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
 
-      if (backend->share.keeper_id != keeper_id || !has_interest (backend))
+      if (backend->share.keeper_id != keeper_id || !is_ask_due (backend, now_us))
         continue;
       if (message == NULL || message->share.slot_count == TT_PEER_SLOTS)
         {
