fix(share): keepers divide a full engine by the work that is offered

Ruled out: the start tags, the shedding on arrival and the costs inside one daemon.

An ASK carries the work offered in the last 40 s. Parts are rounded anew every 4 s.

--- a/src/tarragontrack/board/admit_defs.h
+++ b/src/tarragontrack/board/admit_defs.h
@@ -71,6 +71,8 @@
   TtList queues[TT_PRIORITY_COUNT];       ///< TtAdmitFlow.link, by start tag
   uint32_t waiting[TT_PRIORITY_COUNT];    ///< requests in each
   double virtual_time[TT_PRIORITY_COUNT]; ///< start tag served last
+  double offered;                         ///< cost of the arrivals, decays with 40 s
+  int64_t offered_us;                     ///< last decay
   uint32_t queued;
   uint32_t ready;      ///< released and not placed yet
   uint32_t long_ready; ///< part of them that are long
--- a/src/tarragontrack/board/peer_defs.h
+++ b/src/tarragontrack/board/peer_defs.h
@@ -75,7 +75,8 @@
 } TtPeerGossip;
 
 /// ASK: with a pool's id in backend_id, `used` is the number of the sender's requests that run on
-/// or wait for the pool. LEND: what is lent as asked, for the usual period, is left out.
+/// or wait for the pool, and `slots` the work that its callers
+/// offer. LEND: what is lent as asked, for the usual period, is left out.
 typedef struct
 {
   uint64_t backend_id;
--- a/src/tarragontrack/board/share_defs.h
+++ b/src/tarragontrack/board/share_defs.h
@@ -19,6 +19,7 @@
   uint64_t incarnation;
   uint32_t sequence; ///< of the last ASK; older ones are ignored
   uint32_t slots;
+  uint32_t unmet; ///< slots wanted in the last ASK and not lent
   int64_t expires_us;
 } TtLoan;
 
@@ -29,6 +30,7 @@
   uint64_t member_id;
   uint32_t sequence;
   uint32_t requests;
+  uint32_t offered; ///< work that its callers ask for, see TtAdmitPool.offered
   int64_t expires_us;
 } TtShareDemand;
 
@@ -44,6 +46,7 @@
   uint32_t free_long; ///< part of TtSharePool.free_long_slots
   int64_t lent_until_us;
   uint32_t asked;        ///< slots wanted in the last ASK
+  uint32_t reported;     ///< open attempts in the last ASK
   uint32_t ask_sequence; ///< of the ASK that is not answered; 0 = none
   int64_t asked_us;
   int64_t unanswered_us; ///< first ASK since the keeper's last answer; 0 = answered
--- a/src/tarragontrack/control/admit_queue.c
+++ b/src/tarragontrack/control/admit_queue.c
@@ -7,6 +7,8 @@
 #define TOKENS_PER_UNIT 100.0 // cost of a request in fair queueing: one, and one per 100 tokens
 #define RESERVE 3.0           // standard deviations of the number of short requests
 #define SERVICE_GAIN 0.05     // of one interval between two releases
+/// Time constant of the offered work: long enough for several hundred requests at a daemon.
+#define OFFERED_US (40 * TT_SECOND_US)
 #define RETRY_AFTER_MIN_MS 1000
 #define RETRY_AFTER_MAX_MS 30000
 
@@ -89,6 +91,16 @@
   return worst != NULL ? request_of (worst->requests.head.prev) : NULL;
 }
 
+/// Adds arrived work to the pool's offered work, from which `share` divides the slots.
+static void
+note_offered (TtAdmitPool *admit, double cost, int64_t now_us)
+{
+  double age = (double) (now_us - admit->offered_us) / (double) OFFERED_US;
+
+  admit->offered = admit->offered * exp (-age) + cost;
+  admit->offered_us = now_us;
+}
+
 void
 tt_admit_enqueue (TtBoard *board, TtRequest *request, int64_t now_us)
 {
@@ -97,6 +109,7 @@
 
   request->admit.queued_us = now_us;
   tt_admit_flow_append (board, request, 1.0 + request->length.predicted_tokens / TOKENS_PER_UNIT);
+  note_offered (admit, request->admit.cost, now_us);
   before = tt_admit_flow_before (request->admit.flow);
   for (uint32_t p = 0; p < request->priority; p++)
     before += admit->waiting[p];
@@ -117,6 +130,8 @@
 void
 tt_admit_expire (TtBoard *board, int64_t now_us)
 {
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    note_offered (&TT_CONTAINER_OF (it, TtPool, link)->admit, 0.0, now_us);
   TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_QUEUED], it)
     {
       TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -8,6 +8,9 @@
 /// A daemon that started less than this before may not know all members yet, so it cannot tell
 /// that a backend server it sees for the first time had no keeper before.
 #define MATURE_US (5 * TT_SECOND_US)
+/// Period of the rounding of fair parts. With a fixed rounding one of five daemons had a sixth
+/// fewer slots than its part for a whole minute.
+#define ROUNDING_US (4 * TT_SECOND_US)
 
 int
 tt_keeper_open (TtBoard *board)
@@ -262,14 +265,18 @@
   return true;
 }
 
-/// Slots of the backend server in proportion to the borrower's part of the demand, rounded up.
+/// Slots of the backend server in proportion to the work that the borrower's callers offer.
+/// Fractions are rounded up or down, anew in each period, so that the mean over time and engines is
+/// exact.
 static uint32_t
-demand_part (const TtBoard *board, const TtBackendServer *backend, uint64_t member_id,
-             int64_t now_us)
+fair_part (const TtBoard *board, const TtBackendServer *backend, uint64_t member_id, int64_t now_us)
 {
   const TtPool *pool = backend->pool;
-  double own = member_id == board->member.self->entry.id ? pool->share.demand : 0.0;
-  double all = pool->share.demand;
+  double own = member_id == board->member.self->entry.id ? 1.0 + pool->admit.offered : 0.0;
+  double all = 1.0 + pool->admit.offered;
+  uint64_t period = (uint64_t) (now_us / ROUNDING_US);
+  uint64_t hash = tt_hash_pair (tt_hash_pair (member_id, backend->id), period);
+  double draw = (double) (hash >> 11) * 0x1.0p-53;
 
   TT_LIST_FOREACH (&pool->share.demands, it)
     {
@@ -277,11 +284,32 @@
 
       if (demand->expires_us <= now_us)
         continue;
-      all += demand->requests;
+      all += demand->offered;
       if (demand->member_id == member_id)
-        own = demand->requests;
+        own = demand->offered;
     }
-  return own > 0.0 ? (uint32_t) ceil (backend->share.room * own / all) : backend->share.room;
+  return own > 0.0 ? (uint32_t) (backend->share.room * own / all + draw) : backend->share.room;
+}
+
+/// Slots that the other borrowers want and lack of their fair part.
+static uint32_t
+count_lacking (const TtBoard *board, const TtBackendServer *backend, uint64_t member_id,
+               int64_t now_us)
+{
+  uint32_t lacking = 0;
+
+  TT_LIST_FOREACH (&backend->share.loans, it)
+    {
+      const TtLoan *loan = TT_CONTAINER_OF (it, TtLoan, link);
+      uint32_t part;
+
+      if (loan->member_id == member_id || loan->expires_us <= now_us || loan->unmet == 0)
+        continue;
+      part = fair_part (board, backend, loan->member_id, now_us);
+      if (part > loan->slots)
+        lacking += part - loan->slots < loan->unmet ? part - loan->slots : loan->unmet;
+    }
+  return lacking;
 }
 
 void
@@ -307,6 +335,8 @@
   TtLoan *loan = loan_of (board, backend, ask->member_id);
   uint32_t others;
   uint32_t extra;
+  uint32_t lacking = 0;
+  uint32_t over = 0;
 
   *granted = 0;
   if (loan == NULL)
@@ -316,9 +346,22 @@
     return false;
   others = lent_to_others (backend, ask->member_id, now_us);
   extra = others + ask->used < backend->share.room ? backend->share.room - others - ask->used : 0;
+  // More requests than slots: beyond its fair part a borrower gets only what no other one lacks.
+  if (backend->pool->share.mean_load > backend->share.room)
+    {
+      uint32_t part = fair_part (board, backend, ask->member_id, now_us);
+      uint32_t below = part > ask->used ? part - ask->used : 0;
+      uint32_t spare;
+
+      lacking = count_lacking (board, backend, ask->member_id, now_us);
+      over = ask->used > part ? ask->used - part : 0;
+      spare = extra > lacking ? extra - lacking : 0;
+      if (extra > below)
+        extra = spare > below ? spare : below;
+    }
   // One borrower gets at most half of what is left, so that a surge at one daemon leaves slots
   // for the others.
-  if (extra > 1 && others > 0)
+  else if (extra > 1 && others > 0)
     extra = (extra + 1) / 2;
   if (now_us < backend->share.lends_from_us)
     extra = 0;
@@ -328,12 +371,12 @@
   loan->sequence = ask->sequence;
   loan->slots = ask->used + extra;
   loan->expires_us = now_us + TT_LOAN_PERIOD_US;
+  loan->unmet = ask->wanted > loan->slots ? ask->wanted - loan->slots : 0;
   *granted = loan->slots;
-  // With all slots in use a borrower would keep what it once got. The slot is still counted as lent
-  // until the borrower reports that the request in it has ended.
-  if (others + ask->used >= backend->share.room
-      && ask->used > demand_part (board, backend, ask->member_id, now_us) + 1)
-    *granted = ask->used - 1;
+  // With all slots in use a borrower would keep what it once got. The slots are still counted as
+  // lent until the borrower reports that the requests in them have ended.
+  if (others + ask->used >= backend->share.room && over > 0)
+    *granted -= over < lacking ? over : lacking;
   return true;
 }
 
@@ -359,6 +402,7 @@
     return;
   demand->sequence = ask->sequence;
   demand->requests = ask->used;
+  demand->offered = ask->wanted;
   demand->expires_us = now_us + TT_LOAN_PERIOD_US;
   (void) tt_keeper_update_room (board, pool, now_us);
 }
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -160,6 +160,7 @@
   if (!has_interest (backend))
     return false;
   return backend->place.waiting > 0 || share->ask_sequence != 0
+         || (share->lent < share->reported && backend->attempts.count < share->reported)
          || now_us - share->asked_us >= RENEW_WITH_US;
 }
 
@@ -178,6 +179,7 @@
       share->opened = 0;
     }
   share->asked = count_wish (board, backend);
+  share->reported = backend->attempts.count;
   share->asked_us = now_us;
   share->ask_sequence = message->sequence;
   if (share->unanswered_us == 0)
@@ -211,7 +213,9 @@
           message->share.sequence = ++board->share.sequence;
           if (backend->domain_id == board->domain_id)
             message->share.slots[message->share.slot_count++]
-                = (TtPeerSlot){ .backend_id = pool->id, .used = count_demand (pool) };
+                = (TtPeerSlot){ .backend_id = pool->id,
+                                .used = count_demand (pool),
+                                .slots = 1 + (uint32_t) pool->admit.offered };
         }
       add_slot (board, &message->share, backend, now_us);
     }
@@ -386,7 +390,9 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
       TtShareBackend *share = &backend->share;
-      int64_t pause_us = share->ask_sequence != 0 && !share->orphan ? RETRY_US : RENEW_US;
+      bool returns = share->lent < share->reported && backend->attempts.count < share->reported;
+      int64_t pause_us
+          = (share->ask_sequence != 0 && !share->orphan) || returns ? RETRY_US : RENEW_US;
 
       if (backend->pool != NULL && !tt_keeper_is_self (board, backend) && share->keeper_id != 0
           && has_interest (backend) && now_us - share->asked_us >= pause_us)
