--- a/src/tarragontrack/control/gossip.c
+++ b/src/tarragontrack/control/gossip.c
@@ -10,11 +10,11 @@
 /// Loads are used only without a keeper, up to 60 s later: those that a daemon keeps itself at the
 /// target size, and one or two to pass on.
 #define LOADS_PER_MESSAGE 4
-#define ACCOUNTS_PER_MESSAGE 8
+#define ACCOUNTS_PER_MESSAGE 6
 /// Sums of client accounts in a gateway's message while there are more failure domains than
 /// MANY_DOMAINS: a gateway sends and receives one message for each of them in two seconds.
 #define MANY_DOMAINS 5
-#define SUMS_FEW 3
+#define SUMS_FEW 1
 #define SUSPECTS_PER_MESSAGE 4
 #define LEAVING_PER_MESSAGE 16
 /// Loads and account counts told by their owner itself within this time are passed on once.
--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -335,8 +335,8 @@
   TtLoan *loan = loan_of (board, backend, ask->member_id);
   uint32_t others;
   uint32_t extra;
-  uint32_t lacking = 0;
-  uint32_t over = 0;
+  uint32_t part = fair_part (board, backend, ask->member_id, now_us);
+  uint32_t over;
 
   *granted = 0;
   if (loan == NULL)
@@ -346,23 +346,26 @@
     return false;
   others = lent_to_others (backend, ask->member_id, now_us);
   extra = others + ask->used < backend->share.room ? backend->share.room - others - ask->used : 0;
+  over = ask->used > part ? ask->used - part : 0;
   // More requests than slots: beyond its fair part a borrower gets only what no other one lacks.
   if (backend->pool->share.mean_load > backend->share.room)
     {
-      uint32_t part = fair_part (board, backend, ask->member_id, now_us);
       uint32_t below = part > ask->used ? part - ask->used : 0;
-      uint32_t spare;
+      uint32_t lacking = count_lacking (board, backend, ask->member_id, now_us);
+      uint32_t spare = extra > lacking ? extra - lacking : 0;
 
-      lacking = count_lacking (board, backend, ask->member_id, now_us);
-      over = ask->used > part ? ask->used - part : 0;
-      spare = extra > lacking ? extra - lacking : 0;
+      over = over < lacking ? over : lacking;
       if (extra > below)
         extra = spare > below ? spare : below;
     }
-  // One borrower gets at most half of what is left, so that a surge at one daemon leaves slots
-  // for the others.
-  else if (extra > 1 && others > 0)
-    extra = (extra + 1) / 2;
+  else
+    {
+      over = over > 1 ? 1 : 0;
+      // One borrower gets at most half of what is left, so that a surge at one daemon leaves slots
+      // for the others.
+      if (extra > 1 && others > 0)
+        extra = (extra + 1) / 2;
+    }
   if (now_us < backend->share.lends_from_us)
     extra = 0;
   if (ask->wanted < ask->used + extra)
@@ -375,8 +378,8 @@
   *granted = loan->slots;
   // With all slots in use a borrower would keep what it once got. The slots are still counted as
   // lent until the borrower reports that the requests in them have ended.
-  if (others + ask->used >= backend->share.room && over > 0)
-    *granted -= over < lacking ? over : lacking;
+  if (others + ask->used >= backend->share.room)
+    *granted -= over;
   return true;
 }
 
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -3,7 +3,6 @@
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/control/keeper.h"
 #include "tarragontrack/control/slot.h"
-#include <math.h>
 
 /// A loan is renewed after RENEW_US; when the answer is lost, one retry still arrives before the
 /// loan of TT_LOAN_PERIOD_US ends.
@@ -27,35 +26,9 @@
 
 enum
 {
-  ASK_CREDIT = 4, ///< slots expected from a keeper that refused none so far
-  QUEUE_WISH = 4  ///< most slots asked for on one engine for queued requests
+  ASK_CREDIT = 4 ///< slots expected from a keeper that refused none so far
 };
 
-/// Requests of this daemon that run on or wait for the pool.
-static uint32_t
-count_demand (const TtPool *pool)
-{
-  return pool->share.used + pool->admit.queued + pool->place.waiting;
-}
-
-/// Slots to ask for: those in use, those that requests wait for, and what is likely to be opened
-/// before the next renewal.
-static uint32_t
-count_wish (const TtBoard *board, const TtBackendServer *backend)
-{
-  const TtPool *pool = backend->pool;
-  uint32_t wish = backend->attempts.count + backend->place.waiting;
-  uint32_t queue = 0;
-
-  if (pool->admit.queued > 0 && pool->share.engines > 0)
-    queue = (pool->admit.queued + pool->share.engines - 1) / pool->share.engines;
-  wish += queue < QUEUE_WISH ? queue : QUEUE_WISH;
-  if (tt_keeper_is_self (board, backend))
-    return wish + 1;
-  // Openings and closings cancel out, so that the need grows with the square root of openings.
-  return wish + (uint32_t) (0.5 + sqrt (backend->share.uses) / 2.0);
-}
-
 /// Renews this daemon's loan on a backend server that it keeps itself.
 static void
 lend_to_self (TtBoard *board, TtBackendServer *backend, int64_t now_us)
@@ -64,7 +37,7 @@
                     .incarnation = board->member.self->entry.incarnation,
                     .sequence = ++board->share.sequence,
                     .used = backend->attempts.count,
-                    .wanted = count_wish (board, backend) };
+                    .wanted = tt_slot_wish (board, backend) };
   uint32_t granted;
 
   if (!tt_keeper_lend (board, backend, &ask, &granted, now_us))
@@ -178,7 +151,7 @@
       share->uses += 0.3 * (uses - share->uses);
       share->opened = 0;
     }
-  share->asked = count_wish (board, backend);
+  share->asked = tt_slot_wish (board, backend);
   share->reported = backend->attempts.count;
   share->asked_us = now_us;
   share->ask_sequence = message->sequence;
@@ -214,7 +187,7 @@
           if (backend->domain_id == board->domain_id)
             message->share.slots[message->share.slot_count++]
                 = (TtPeerSlot){ .backend_id = pool->id,
-                                .used = count_demand (pool),
+                                .used = tt_slot_demand (pool),
                                 .slots = 1 + (uint32_t) pool->admit.offered };
         }
       add_slot (board, &message->share, backend, now_us);
@@ -453,7 +426,7 @@
 static void
 follow_demand (TtBoard *board, TtPool *pool, int64_t now_us)
 {
-  if (pool->share.demand == count_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
+  if (pool->share.demand == tt_slot_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
     return;
   board->dirty = true;
   TT_LIST_FOREACH (&pool->backends, it)
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -1,12 +1,18 @@
 #include "tarragontrack/control/slot.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/keeper.h"
 #include "tarragontrack/control/progress.h"
 #include <math.h>
 
 /// Age up to which a room seen by gossip is used for the fallback.
 #define SEEN_US (60 * TT_SECOND_US)
 
+enum
+{
+  QUEUE_WISH = 4 ///< most slots asked for on one engine for queued requests
+};
+
 bool
 tt_slot_usable (const TtBackendServer *backend)
 {
@@ -95,3 +101,25 @@
     }
   return false;
 }
+
+uint32_t
+tt_slot_demand (const TtPool *pool)
+{
+  return pool->share.used + pool->admit.queued + pool->place.waiting;
+}
+
+uint32_t
+tt_slot_wish (const TtBoard *board, const TtBackendServer *backend)
+{
+  const TtPool *pool = backend->pool;
+  uint32_t wish = backend->attempts.count + backend->place.waiting;
+  uint32_t queue = 0;
+
+  if (pool->admit.queued > 0 && pool->share.engines > 0)
+    queue = (pool->admit.queued + pool->share.engines - 1) / pool->share.engines;
+  wish += queue < QUEUE_WISH ? queue : QUEUE_WISH;
+  if (tt_keeper_is_self (board, backend))
+    return wish + 1;
+  // Openings and closings cancel out, so that the need grows with the square root of openings.
+  return wish + (uint32_t) (0.5 + sqrt (backend->share.uses) / 2.0);
+}
--- a/src/tarragontrack/control/slot.h
+++ b/src/tarragontrack/control/slot.h
@@ -29,3 +29,10 @@
 
 /// True if the request's service has a usable backend server on which no attempt failed.
 bool tt_slot_has_untried (const TtRequest *request);
+
+/// Requests of this daemon that run on or wait for the pool.
+uint32_t tt_slot_demand (const TtPool *pool);
+
+/// Slots to ask for: those in use, those that requests wait for, and what is likely to be opened
+/// before the next renewal.
+uint32_t tt_slot_wish (const TtBoard *board, const TtBackendServer *backend);
