--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -3,12 +3,14 @@
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/control/keeper.h"
 #include "tarragontrack/control/slot.h"
-#include <math.h>
 
 /// A loan is renewed after RENEW_US; when the answer is lost, one retry still arrives before the
 /// loan of TT_LOAN_PERIOD_US ends.
 #define RENEW_US (1600 * TT_MILLISECOND_US)
 #define RETRY_US (200 * TT_MILLISECOND_US)
+/// An ASK for waiting requests renews the loans that are older than this with it. To renew all of
+/// them each time took half of the bytes of an ASK to the keeper of many engines.
+#define RENEW_WITH_US (800 * TT_MILLISECOND_US)
 /// While a request waits, an ASK without an answer is repeated sooner: the round trip inside a
 /// failure domain is below a millisecond, so that the message was lost.
 #define WANTED_RETRY_US (8 * TT_MILLISECOND_US)
@@ -24,35 +26,9 @@
 
 enum
 {
-  ASK_CREDIT = 4, ///< slots expected from a keeper that refused none so far
-  QUEUE_WISH = 4  ///< most slots asked for on one engine for queued requests
+  ASK_CREDIT = 4 ///< slots expected from a keeper that refused none so far
 };
 
-/// Requests of this daemon that run on or wait for the pool.
-static uint32_t
-count_demand (const TtPool *pool)
-{
-  return pool->share.used + pool->admit.queued + pool->place.waiting;
-}
-
-/// Slots to ask for: those in use, those that requests wait for, and what is likely to be opened
-/// before the next renewal.
-static uint32_t
-count_wish (const TtBoard *board, const TtBackendServer *backend)
-{
-  const TtPool *pool = backend->pool;
-  uint32_t wish = backend->attempts.count + backend->place.waiting;
-  uint32_t queue = 0;
-
-  if (pool->admit.queued > 0 && pool->share.engines > 0)
-    queue = (pool->admit.queued + pool->share.engines - 1) / pool->share.engines;
-  wish += queue < QUEUE_WISH ? queue : QUEUE_WISH;
-  if (tt_keeper_is_self (board, backend))
-    return wish + 1;
-  // Openings and closings cancel out, so that the need grows with the square root of openings.
-  return wish + (uint32_t) (0.5 + sqrt (backend->share.uses) / 2.0);
-}
-
 /// Renews this daemon's loan on a backend server that it keeps itself.
 static void
 lend_to_self (TtBoard *board, TtBackendServer *backend, int64_t now_us)
@@ -61,7 +37,7 @@
                     .incarnation = board->member.self->entry.incarnation,
                     .sequence = ++board->share.sequence,
                     .used = backend->attempts.count,
-                    .wanted = count_wish (board, backend) };
+                    .wanted = tt_slot_wish (board, backend) };
   uint32_t granted;
 
   if (!tt_keeper_lend (board, backend, &ask, &granted, now_us))
@@ -148,6 +124,19 @@
   return NULL;
 }
 
+/// True if an ASK to its keeper has to name this backend server.
+static bool
+is_ask_due (const TtBackendServer *backend, int64_t now_us)
+{
+  const TtShareBackend *share = &backend->share;
+
+  if (!has_interest (backend))
+    return false;
+  return backend->place.waiting > 0 || share->ask_sequence != 0
+         || (share->lent < share->reported && backend->attempts.count < share->reported)
+         || now_us - share->asked_us >= RENEW_WITH_US;
+}
+
 /// Adds one backend server to an ASK.
 static void
 add_slot (TtBoard *board, TtPeerShare *message, TtBackendServer *backend, int64_t now_us)
@@ -162,7 +151,8 @@
       share->uses += 0.3 * (uses - share->uses);
       share->opened = 0;
     }
-  share->asked = count_wish (board, backend);
+  share->asked = tt_slot_wish (board, backend);
+  share->reported = backend->attempts.count;
   share->asked_us = now_us;
   share->ask_sequence = message->sequence;
   if (share->unanswered_us == 0)
@@ -186,7 +176,7 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
 
-      if (backend->share.keeper_id != keeper_id || !has_interest (backend))
+      if (backend->share.keeper_id != keeper_id || !is_ask_due (backend, now_us))
         continue;
       if (message == NULL || message->share.slot_count == TT_PEER_SLOTS)
         {
@@ -196,7 +186,9 @@
           message->share.sequence = ++board->share.sequence;
           if (backend->domain_id == board->domain_id)
             message->share.slots[message->share.slot_count++]
-                = (TtPeerSlot){ .backend_id = pool->id, .used = count_demand (pool) };
+                = (TtPeerSlot){ .backend_id = pool->id,
+                                .used = tt_slot_demand (pool),
+                                .slots = 1 + (uint32_t) pool->admit.offered };
         }
       add_slot (board, &message->share, backend, now_us);
     }
@@ -371,7 +363,9 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
       TtShareBackend *share = &backend->share;
-      int64_t pause_us = share->ask_sequence != 0 && !share->orphan ? RETRY_US : RENEW_US;
+      bool returns = share->lent < share->reported && backend->attempts.count < share->reported;
+      int64_t pause_us
+          = (share->ask_sequence != 0 && !share->orphan) || returns ? RETRY_US : RENEW_US;
 
       if (backend->pool != NULL && !tt_keeper_is_self (board, backend) && share->keeper_id != 0
           && has_interest (backend) && now_us - share->asked_us >= pause_us)
@@ -432,7 +426,7 @@
 static void
 follow_demand (TtBoard *board, TtPool *pool, int64_t now_us)
 {
-  if (pool->share.demand == count_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
+  if (pool->share.demand == tt_slot_demand (pool) || !tt_keeper_update_room (board, pool, now_us))
     return;
   board->dirty = true;
   TT_LIST_FOREACH (&pool->backends, it)
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -1,11 +1,18 @@
 #include "tarragontrack/control/slot.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/keeper.h"
 #include "tarragontrack/control/progress.h"
 #include <math.h>
 
 /// Age up to which a room seen by gossip is used for the fallback.
 #define SEEN_US (60 * TT_SECOND_US)
 
+enum
+{
+  QUEUE_WISH = 4 ///< most slots asked for on one engine for queued requests
+};
+
 bool
 tt_slot_usable (const TtBackendServer *backend)
 {
@@ -59,3 +66,60 @@
     room = backend->batch_limit;
   return (uint32_t) room / members;
 }
+
+bool
+tt_slot_tried (const TtRequest *request, const TtBackendServer *backend)
+{
+  const TtRetryRequest *retry = &request->retry;
+
+  for (uint32_t i = 0; i < retry->tried_count && i < TT_RETRY_TRIED; i++)
+    if (retry->tried[i] == backend->id)
+      return true;
+  return false;
+}
+
+bool
+tt_slot_failed_last (const TtRequest *request, const TtBackendServer *backend)
+{
+  const TtRetryRequest *retry = &request->retry;
+
+  return retry->tried_count > 0
+         && retry->tried[(retry->tried_count - 1) % TT_RETRY_TRIED] == backend->id;
+}
+
+bool
+tt_slot_has_untried (const TtRequest *request)
+{
+  if (request->retry.tried_count == 0)
+    return true;
+  TT_LIST_FOREACH (&request->pool->backends, it)
+    {
+      const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
+
+      if (tt_slot_usable (backend) && !tt_slot_tried (request, backend))
+        return true;
+    }
+  return false;
+}
+
+uint32_t
+tt_slot_demand (const TtPool *pool)
+{
+  return pool->share.used + pool->admit.queued + pool->place.waiting;
+}
+
+uint32_t
+tt_slot_wish (const TtBoard *board, const TtBackendServer *backend)
+{
+  const TtPool *pool = backend->pool;
+  uint32_t wish = backend->attempts.count + backend->place.waiting;
+  uint32_t queue = 0;
+
+  if (pool->admit.queued > 0 && pool->share.engines > 0)
+    queue = (pool->admit.queued + pool->share.engines - 1) / pool->share.engines;
+  wish += queue < QUEUE_WISH ? queue : QUEUE_WISH;
+  if (tt_keeper_is_self (board, backend))
+    return wish + 1;
+  // Openings and closings cancel out, so that the need grows with the square root of openings.
+  return wish + (uint32_t) (0.5 + sqrt (backend->share.uses) / 2.0);
+}
