feat(bench): capacity of one daemon and of whole fleets

Adds bench/capacity_bench.c, which runs whole fleets with the simulation of the tests and the real encoder, and prints memory, bytes, processor time and platform calls. The simulation gets a step function for events of the caller, a bound of records, and a callback for actions.

--- /dev/null
+++ b/bench/capacity/fleet.c
@@ -0,0 +1,472 @@
+#include "fleet.h"
+#include "tarragontrack/board/hash.h"
+#include "tarragontrack/codec/peer.h"
+#include "tarragontrack/control/member.h"
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define FIRST_TOKEN_US (200 * TT_MILLISECOND_US)
+#define SLICE_US (10 * TT_MILLISECOND_US)
+#define BATCH_LIMIT 160
+
+enum
+{
+  TEAM_ACCOUNTS = FLEET_ACCOUNTS / FLEET_MODELS,
+  TOKENS = 428, ///< of an answer: 2.4 M tokens/s over 5,600 requests/s
+  QUEUE_SIZE = 1 << 18
+};
+
+/// An attempt that goes on at a time. Both queues have a constant delay, so they are in order.
+typedef struct
+{
+  int64_t at_us;
+  SimNode *node;
+  uint64_t attempt_id;
+} Due;
+
+typedef struct
+{
+  Due *items; ///< QUEUE_SIZE entries, a ring
+  uint32_t head;
+  uint32_t count;
+} DueQueue;
+
+typedef struct
+{
+  Sim *sim;
+  const FleetSize *size;
+  FleetResult *result;
+  DueQueue first;
+  DueQueue done;
+  TtRng rng;
+  uint64_t serial;
+  uint64_t not_run;
+  uint64_t completed;
+  bool measuring;
+} Run;
+
+/// Measured by the replaced tt_board_step(); a process runs one fleet at a time.
+static double step_s[FLEET_STEP_TYPES];
+static uint64_t step_counts[FLEET_STEP_TYPES];
+static double worst_s;
+
+// The linker replaces the library's functions by these (see CMakeLists.txt).
+void __real_tt_board_step (TtBoard *board, const TtEvent *event, int64_t now_us); // NOLINT
+void __wrap_tt_board_step (TtBoard *board, const TtEvent *event, int64_t now_us); // NOLINT
+uint32_t __wrap_tt_gossip_bytes (const TtPeerMessage *message);                   // NOLINT
+
+static double
+read_cpu_s (void)
+{
+  struct timespec now;
+
+  (void) clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double) now.tv_sec + (double) now.tv_nsec / 1e9;
+}
+
+void
+__wrap_tt_board_step (TtBoard *board, const TtEvent *event, int64_t now_us) // NOLINT
+{
+  double start_s = read_cpu_s ();
+  double took_s;
+
+  __real_tt_board_step (board, event, now_us);
+  took_s = read_cpu_s () - start_s;
+  step_s[event->type] += took_s;
+  step_counts[event->type]++;
+  if (took_s > worst_s)
+    worst_s = took_s;
+}
+
+size_t
+fleet_message_bytes (const TtPeerMessage *message)
+{
+  char *data;
+  size_t size;
+
+  if (tt_peer_write (message, "fleet", &data, &size) < 0)
+    abort ();
+  free (data);
+  return size;
+}
+
+uint32_t
+__wrap_tt_gossip_bytes (const TtPeerMessage *message) // NOLINT
+{
+  return (uint32_t) fleet_message_bytes (message);
+}
+
+static void
+push_due (DueQueue *queue, Due due)
+{
+  if (queue->count == QUEUE_SIZE)
+    abort ();
+  queue->items[(queue->head + queue->count++) % QUEUE_SIZE] = due;
+}
+
+/// Counts what a daemon asks for, and starts its attempts.
+static void
+note_action (void *context, SimNode *node, const TtAction *action)
+{
+  Run *run = context;
+  int64_t now_us = run->sim->now_us;
+
+  if (action->type == TT_ACTION_DISPATCH)
+    {
+      uint64_t id = action->attempt.attempt_id;
+
+      push_due (&run->first, (Due){ now_us + FIRST_TOKEN_US, node, id });
+      push_due (&run->done, (Due){ now_us + (int64_t) (run->size->duration_s * 1e6), node, id });
+    }
+  else if (action->type == TT_ACTION_REPLY)
+    run->not_run += run->measuring && action->reply.outcome != TT_OUTCOME_COMPLETE;
+  else if (action->type == TT_ACTION_PEER && run->measuring)
+    {
+      TtPeerType type = action->peer.message->type;
+
+      run->result->messages[type]++;
+      run->result->message_bytes[type] += (double) fleet_message_bytes (action->peer.message);
+    }
+}
+
+/// Delivers the answers that are due.
+static void
+deliver_due (Run *run, DueQueue *queue, bool done)
+{
+  while (queue->count > 0 && queue->items[queue->head].at_us <= run->sim->now_us)
+    {
+      Due *due = &queue->items[queue->head];
+      TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS };
+
+      queue->head = (queue->head + 1) % QUEUE_SIZE;
+      queue->count--;
+      event.attempt.attempt_id = due->attempt_id;
+      event.attempt.tokens = done ? TOKENS - 1 : 1;
+      sim_step (run->sim, due->node, &event);
+      if (!done)
+        continue;
+      event = (TtEvent){ .type = TT_EVENT_ATTEMPT_DONE };
+      event.attempt.attempt_id = due->attempt_id;
+      event.attempt.status = 200;
+      sim_step (run->sim, due->node, &event);
+      run->completed += run->measuring;
+    }
+}
+
+static void
+send_request (Run *run, SimNode *node)
+{
+  uint32_t account = (uint32_t) tt_rng_below (&run->rng, FLEET_ACCOUNTS);
+  uint64_t serial = ++run->serial;
+  TtRequestSpec spec = { .request_id = UINT64_C (1) << 62 | serial,
+                         .chat_key = tt_rng_next (&run->rng),
+                         .prefix_key = tt_hash_pair (account, 4),
+                         .body_hash = serial,
+                         .prompt_tokens = 1000,
+                         .stream = true };
+  TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
+
+  (void) snprintf (spec.account, sizeof spec.account, "account-%u", account);
+  (void) snprintf (spec.service, sizeof spec.service, "model-%u", account % FLEET_MODELS);
+  sim_step (run->sim, node, &event);
+}
+
+/// Each engine's load report goes to two daemons of its failure domain, once a second.
+static void
+report_loads (Run *run)
+{
+  const FleetSize *size = run->size;
+  uint32_t per_domain = size->daemons / size->domains;
+
+  for (uint32_t e = 0; e < size->engines; e++)
+    for (uint32_t poller = 0; poller < 2; poller++)
+      {
+        uint32_t rank = (e / size->domains + poller) % (per_domain > 0 ? per_domain : 1);
+        SimNode *node = &run->sim->nodes[rank * size->domains + e % size->domains];
+        const TtHostEntry *host = &run->sim->hosts[e];
+        TtEvent event = { .type = TT_EVENT_LOAD_REPORT };
+
+        event.load.backend_id = tt_hash_string (host->name);
+        event.load.running = BATCH_LIMIT / 2;
+        memcpy (event.load.role.model, host->service, TT_NAME_MAX);
+        (void) snprintf (event.load.role.role, TT_NAME_MAX, "serve");
+        if (node->board != NULL)
+          sim_step (run->sim, node, &event);
+      }
+}
+
+/// Runs the fleet with its requests.
+static void
+run_until (Run *run, int64_t until_us)
+{
+  double expected = run->size->rate * (double) SLICE_US / 1e6;
+
+  while (run->sim->now_us < until_us)
+    {
+      sim_run (run->sim, run->sim->now_us + SLICE_US);
+      deliver_due (run, &run->first, false);
+      deliver_due (run, &run->done, true);
+      if (run->sim->now_us / TT_SECOND_US != (run->sim->now_us - SLICE_US) / TT_SECOND_US)
+        report_loads (run);
+      for (uint32_t i = 0; run->size->rate > 0.0 && i < run->sim->node_count; i++)
+        if (run->sim->nodes[i].board != NULL && tt_rng_unit (&run->rng) < expected)
+          send_request (run, &run->sim->nodes[i]);
+    }
+}
+
+/// Puts the services and accounts of a team into the document that sim_apply() made.
+static void
+fill_document (TtDocument *document, uint32_t team)
+{
+  TtServiceSpec *service = &document->services[0];
+
+  document->schema = TT_DOCUMENT_SCHEMA;
+  document->default_priority = 1;
+  document->default_queue_deadline_ms = 30000;
+  service->type = TT_SERVICE_MODEL;
+  service->repeatable = true;
+  service->load_multiple = 1.25;
+  service->long_share = 0.5;
+  service->long_tokens = 2000;
+  service->first_token_timeout_ms = 600000;
+  service->progress_timeout_ms = 600000;
+  for (uint32_t a = 0; a < TEAM_ACCOUNTS; a++)
+    {
+      TtAccountSpec *account = &document->accounts[document->account_count++];
+
+      (void) snprintf (account->name, sizeof account->name, "account-%u", a * FLEET_MODELS + team);
+      account->id = tt_hash_string (account->name);
+      account->weight = 1.0;
+    }
+}
+
+static uint64_t
+apply_change (Sim *sim, uint32_t team)
+{
+  char name[TT_NAME_MAX];
+  uint64_t epoch;
+
+  (void) snprintf (name, sizeof name, "model-%u", team);
+  epoch = sim_apply (sim, name, TT_DETACHED_WAIT, true);
+  fill_document (sim->documents[sim->document_count - 1], team);
+  return epoch;
+}
+
+Sim *
+fleet_prepare (const FleetSize *size)
+{
+  Sim *sim = sim_new (size->seed);
+  char domain[TT_NAME_MAX];
+  char service[TT_NAME_MAX];
+
+  sim->max_requests = size->records;
+  for (uint32_t i = 0; i < size->engines; i++)
+    {
+      TtHostEntry *host;
+
+      // Models change slower than failure domains, so that each domain has engines of each model.
+      (void) snprintf (domain, sizeof domain, "zone-%u", i % size->domains);
+      (void) snprintf (service, sizeof service, "model-%u", i / size->domains % FLEET_MODELS);
+      sim_add_engines (sim, 1, service, domain);
+      host = &sim->hosts[sim->host_count - 1];
+      (void) snprintf (host->name, sizeof host->name, "engine-%u", i);
+      host->batch_limit = BATCH_LIMIT;
+      host->port = 9000;
+    }
+  for (uint32_t team = 0; team < FLEET_MODELS; team++)
+    (void) apply_change (sim, team);
+  return sim;
+}
+
+void
+fleet_add_daemons (Sim *sim, const FleetSize *size, uint32_t count)
+{
+  char domain[TT_NAME_MAX];
+  char name[TT_NAME_MAX];
+
+  for (uint32_t i = 0; i < size->daemons; i++)
+    {
+      SimNode *node;
+
+      (void) snprintf (domain, sizeof domain, "zone-%u", i % size->domains);
+      (void) snprintf (name, sizeof name, "entry-%u", i);
+      node = sim_add (sim, name, domain);
+      (void) snprintf (sim->hosts[sim->host_count - 1].address, TT_ADDRESS_MAX, "10.0.%u.%u",
+                       i / 250, i % 250 + 1);
+      sim->hosts[sim->host_count - 1].port = 7000;
+      if (i >= count)
+        sim_stop (node);
+    }
+}
+
+/// Adds one daemon's counts to a sum.
+static void
+add_rates (FleetRates *sum, const SimNode *node, const SimNode *before, double seconds)
+{
+  sum->sent += (double) (node->sent - before->sent) / seconds;
+  sum->sent_bytes += (double) (node->sent_bytes - before->sent_bytes) / seconds;
+  sum->received_bytes += (double) (node->received_bytes - before->received_bytes) / seconds;
+  sum->reads += (double) (node->reads - before->reads) / seconds;
+  sum->writes += (double) (node->writes - before->writes) / seconds;
+  sum->watches += (double) (node->watches - before->watches) / seconds;
+}
+
+static void
+divide_rates (FleetRates *sum, double count)
+{
+  if (count == 0.0)
+    return;
+  sum->sent /= count;
+  sum->sent_bytes /= count;
+  sum->received_bytes /= count;
+  sum->reads /= count;
+  sum->writes /= count;
+  sum->watches /= count;
+}
+
+/// Compares what the boards know of accounts with the truth.
+static double
+measure_account_error (const Sim *sim)
+{
+  double error = 0.0;
+  double truth = 0.0;
+
+  for (uint32_t a = 0; a < FLEET_ACCOUNTS; a += 50)
+    {
+      uint64_t id;
+      char name[TT_NAME_MAX];
+      double sum = 0.0;
+      double known[SIM_NODES] = { 0 };
+
+      (void) snprintf (name, sizeof name, "account-%u", a);
+      id = tt_hash_string (name);
+      for (uint32_t i = 0; i < sim->node_count; i++)
+        TT_LIST_FOREACH (&sim->nodes[i].board->admit.accounts, it)
+          {
+            const TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
+
+            if (account->spec.id != id)
+              continue;
+            sum += account->in_flight;
+            known[i] = account->fleet_in_flight;
+          }
+      for (uint32_t i = 0; i < sim->node_count; i++)
+        error += fabs (known[i] - sum);
+      truth += sum * sim->node_count;
+    }
+  return truth > 0.0 ? error / truth : 0.0;
+}
+
+static void
+sum_daemons (const Run *run, const SimNode *before, double seconds)
+{
+  const Sim *sim = run->sim;
+  FleetResult *result = run->result;
+  double counts[3] = { 0 };
+
+  for (uint32_t i = 0; i < sim->node_count; i++)
+    {
+      const SimNode *node = &sim->nodes[i];
+      uint32_t rank = node->board->member.rank;
+      FleetRates *roles[] = { &result->first, &result->gateway, &result->member };
+      uint32_t role = rank < 2 ? rank : 2;
+      FleetRates own = { 0 };
+      uint32_t kept = 0;
+
+      add_rates (&result->mean, node, &before[i], seconds);
+      add_rates (roles[role], node, &before[i], seconds);
+      add_rates (&own, node, &before[i], seconds);
+      if (own.sent_bytes + own.received_bytes
+          > result->busiest.sent_bytes + result->busiest.received_bytes)
+        result->busiest = own;
+      counts[role]++;
+      result->pool_full += node->board->counters[TT_COUNT_POOL_FULL];
+      result->open_requests += node->board->requests.stages[TT_STAGE_RUNNING].count;
+      TT_LIST_FOREACH (&node->board->backends.all, it)
+        kept += TT_CONTAINER_OF (it, TtBackendServer, link)->share.keeper_since_us != 0;
+      if (kept > result->keepers_most)
+        result->keepers_most = kept;
+    }
+  divide_rates (&result->mean, sim->node_count);
+  divide_rates (&result->first, counts[0]);
+  divide_rates (&result->gateway, counts[1]);
+  divide_rates (&result->member, counts[2]);
+  result->open_requests /= sim->node_count;
+}
+
+/// Runs the measured time, with changes in their period.
+static void
+run_changes (Run *run, int64_t until_us)
+{
+  int64_t period_us = (int64_t) (run->size->change_s * 1e6);
+
+  while (period_us > 0 && run->sim->now_us + period_us <= until_us)
+    {
+      int64_t start_us = run->sim->now_us;
+      uint64_t epoch = apply_change (run->sim, run->result->changes++ % FLEET_MODELS);
+      double took_s = -1.0;
+
+      while (run->sim->now_us < start_us + period_us)
+        {
+          run_until (run, run->sim->now_us + 10 * SLICE_US);
+          if (took_s < 0.0 && sim_in_force (run->sim, epoch))
+            took_s = (double) (run->sim->now_us - start_us) / 1e6;
+        }
+      if (took_s < 0.0)
+        took_s = (double) INFINITY;
+      if (took_s > run->result->in_force_s)
+        run->result->in_force_s = took_s;
+    }
+  run_until (run, until_us);
+}
+
+void
+fleet_measure (const FleetSize *size, FleetResult *result)
+{
+  Run run = { .size = size, .result = result };
+  SimNode *before = calloc (SIM_NODES, sizeof *before);
+  double seconds = size->measure_s;
+  double per_daemon = seconds * size->daemons;
+
+  memset (result, 0, sizeof *result);
+  tt_rng_init (&run.rng, size->seed, 11);
+  run.first.items = calloc (QUEUE_SIZE, sizeof *run.first.items);
+  run.done.items = calloc (QUEUE_SIZE, sizeof *run.done.items);
+  run.sim = fleet_prepare (size);
+  if (before == NULL || run.first.items == NULL || run.done.items == NULL)
+    abort ();
+  run.sim->acted = note_action;
+  run.sim->context = &run;
+  fleet_add_daemons (run.sim, size, size->daemons);
+  run_until (&run, run.sim->now_us + size->warm_s * TT_SECOND_US);
+  memcpy (before, run.sim->nodes, SIM_NODES * sizeof *before);
+  memset (step_s, 0, sizeof step_s);
+  memset (step_counts, 0, sizeof step_counts);
+  worst_s = 0.0;
+  run.serial = 0;
+  run.measuring = true;
+  run_changes (&run, run.sim->now_us + size->measure_s * TT_SECOND_US);
+  for (int type = 0; type < FLEET_STEP_TYPES; type++)
+    {
+      result->step_us[type]
+          = step_counts[type] > 0 ? step_s[type] * 1e6 / (double) step_counts[type] : 0.0;
+      result->steps[type] = (double) step_counts[type] / per_daemon;
+    }
+  for (int type = 0; type <= TT_PEER_LEAVE; type++)
+    {
+      result->message_bytes[type] /= result->messages[type] > 0.0 ? result->messages[type] : 1.0;
+      result->messages[type] /= per_daemon;
+    }
+  result->worst_us = worst_s * 1e6;
+  result->done = (double) run.completed / seconds;
+  result->not_run = run.serial > 0 ? (double) run.not_run / (double) run.serial : 0.0;
+  sum_daemons (&run, before, seconds);
+  result->account_error = measure_account_error (run.sim);
+  sim_free (run.sim);
+  free (run.first.items);
+  free (run.done.items);
+  free (before);
+}
--- /dev/null
+++ b/bench/capacity_bench.c
@@ -0,0 +1,196 @@
+/// Capacity: memory, messages, processor time and platform calls of one daemon and of a fleet, up
+/// to the target size. docs/CAPACITY.md uses the figures. tools/capacity.sh writes the page.
+#include "fleet.h"
+#include "parts.h"
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Load of one daemon at the target: 5,600 requests/s over 360 daemons.
+#define REQUESTS_S (5600.0 / 360.0)
+/// 428 tokens of 30 ms after the first token.
+#define REQUEST_S 13.0
+#define TOKENS_S (2400000.0 / 360.0)
+
+static const FleetSize sizes[] = {
+  { .domains = 1, .daemons = 33, .engines = 80 },
+  { .domains = 11, .daemons = 110, .engines = 440 },
+  { .domains = 11, .daemons = 110, .engines = 880 },
+  { .domains = 11, .daemons = 220, .engines = 880 },
+  { .domains = 11, .daemons = 360, .engines = 880 },
+};
+
+/// Processor time of a second of control, without the steps of requests.
+static double
+control_us (const FleetResult *result)
+{
+  return result->steps[TT_EVENT_TICK] * result->step_us[TT_EVENT_TICK]
+         + result->steps[TT_EVENT_PEER] * result->step_us[TT_EVENT_PEER]
+         + result->steps[TT_EVENT_PLATFORM] * result->step_us[TT_EVENT_PLATFORM]
+         + result->steps[TT_EVENT_LOAD_REPORT] * result->step_us[TT_EVENT_LOAD_REPORT];
+}
+
+static double
+request_us (const FleetResult *result)
+{
+  return result->steps[TT_EVENT_REQUEST] * result->step_us[TT_EVENT_REQUEST]
+         + result->steps[TT_EVENT_ATTEMPT_PROGRESS] * result->step_us[TT_EVENT_ATTEMPT_PROGRESS]
+         + result->steps[TT_EVENT_ATTEMPT_DONE] * result->step_us[TT_EVENT_ATTEMPT_DONE];
+}
+
+static void
+print_role (const char *name, const FleetRates *rates)
+{
+  printf ("| %s | %.0f | %.0f | %.0f | %.1f | %.3f | %.3f | %.3f |\n", name, rates->sent_bytes,
+          rates->received_bytes, rates->sent_bytes + rates->received_bytes, rates->sent,
+          rates->reads - rates->watches, rates->watches, rates->writes);
+}
+
+static void
+print_steps (const FleetResult *result)
+{
+  static const struct
+  {
+    const char *name;
+    TtEventType type;
+  } steps[] = { { "tick", TT_EVENT_TICK },
+                { "message of a peer", TT_EVENT_PEER },
+                { "answer of the platform", TT_EVENT_PLATFORM },
+                { "load report", TT_EVENT_LOAD_REPORT },
+                { "request", TT_EVENT_REQUEST },
+                { "progress", TT_EVENT_ATTEMPT_PROGRESS },
+                { "end of an answer", TT_EVENT_ATTEMPT_DONE } };
+
+  printf ("\n| step | a second, one daemon | processor time (us) | us a second |\n"
+          "|---|---|---|---|\n");
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    printf ("| %s | %.2f | %.1f | %.0f |\n", steps[i].name, result->steps[steps[i].type],
+            result->step_us[steps[i].type],
+            result->steps[steps[i].type] * result->step_us[steps[i].type]);
+}
+
+static void
+print_fleet (const FleetSize *size, const FleetResult *result)
+{
+  static const char *const names[]
+      = { "", "gossip", "share ask", "share lend", "document ask", "document", "leave" };
+
+  printf ("\n### %u failure domains, %u daemons, %u engines\n\n", size->domains, size->daemons,
+          size->engines);
+  printf ("| role | sent (B/s) | received (B/s) | both (B/s) | messages/s | reads/s | watches/s | "
+          "writes/s |\n|---|---|---|---|---|---|---|---|\n");
+  print_role ("mean of all", &result->mean);
+  print_role ("member, keeper", &result->member);
+  print_role ("second gateway", &result->gateway);
+  print_role ("first gateway: reporter, acceptor, order issuer", &result->first);
+  print_role ("busiest", &result->busiest);
+  printf ("| whole fleet | | | | %.0f | %.1f | %.1f | %.1f |\n", result->mean.sent * size->daemons,
+          (result->mean.reads - result->mean.watches) * size->daemons,
+          result->mean.watches * size->daemons, result->mean.writes * size->daemons);
+  printf ("\n| message | bytes, mean | sent a second by one daemon |\n|---|---|---|\n");
+  for (int type = TT_PEER_GOSSIP; type <= TT_PEER_LEAVE; type++)
+    printf ("| %s | %.0f | %.3f |\n", names[type], result->message_bytes[type],
+            result->messages[type]);
+  print_steps (result);
+  printf ("\n| measure | value |\n|---|---|\n");
+  printf ("| open requests of one daemon | %.0f |\n", result->open_requests);
+  printf ("| requests completed a second, fleet | %.0f |\n", result->done);
+  printf ("| requests not completed, part | %.4f |\n", result->not_run);
+  printf ("| records refused because of a bound | %llu |\n",
+          (unsigned long long) result->pool_full);
+  printf ("| most engines of one keeper | %.0f |\n", result->keepers_most);
+  printf ("| error of an account's fleet-wide count, part of the truth | %.3f |\n",
+          result->account_error);
+  printf ("| changes, slowest until in force on all daemons (s) | %u, %.1f |\n", result->changes,
+          result->in_force_s);
+  printf ("| control, processor time of one daemon (%% of a core) | %.2f |\n",
+          control_us (result) / 1e4);
+  printf ("| requests without tokens, processor time of one daemon (%% of a core) | %.2f |\n",
+          request_us (result) / 1e4);
+  printf ("| tokens at %.0f a second, one step each (%% of a core) | %.2f |\n", TOKENS_S,
+          TOKENS_S * result->step_us[TT_EVENT_ATTEMPT_PROGRESS] / 1e4);
+  printf ("| longest step (us) | %.0f |\n", result->worst_us);
+  (void) fflush (stdout);
+}
+
+static FleetSize
+complete_size (const FleetSize *from, uint64_t seed)
+{
+  FleetSize size = *from;
+
+  size.seed = seed;
+  size.rate = REQUESTS_S;
+  size.duration_s = REQUEST_S;
+  size.warm_s = 20;
+  size.measure_s = 20;
+  // Open requests at the target are 205.
+  size.records = 1200;
+  // 1,700 changes a day are one in 51 s; the measured ones come more often.
+  size.change_s = 10.0;
+  return size;
+}
+
+/// One fleet from its start, for callgrind. Two runs of different length give the cost of a second.
+static void
+run_one (char **arguments)
+{
+  FleetSize size = { .domains = (uint32_t) strtoul (arguments[2], NULL, 10),
+                     .daemons = (uint32_t) strtoul (arguments[3], NULL, 10),
+                     .engines = (uint32_t) strtoul (arguments[4], NULL, 10) };
+  FleetResult result;
+
+  size = complete_size (&size, strtoull (arguments[1], NULL, 10));
+  size.warm_s = 0;
+  size.measure_s = (uint32_t) strtoul (arguments[5], NULL, 10);
+  // Short requests, so that the number of open ones is steady within the few seconds.
+  size.duration_s = 3.0;
+  size.change_s = 0.0;
+  fleet_measure (&size, &result);
+}
+
+static void
+print_parts (uint64_t seed)
+{
+  printf ("\n## Memory of a board\n");
+  parts_print_memory (seed);
+  printf ("\n## Messages\n");
+  parts_print_messages ();
+  printf ("\n## Objects of the platform\n");
+  parts_print_objects ();
+  printf ("\n## Steps against open requests\n");
+  parts_print_open (seed);
+  printf ("\n## Restart of a daemon\n");
+  parts_print_restart (seed);
+}
+
+/// Usage: capacity_bench SEED [NUMBER of a fleet, or DOMAINS DAEMONS ENGINES SECONDS]
+int
+main (int count, char **arguments)
+{
+  uint64_t seed = count > 1 ? strtoull (arguments[1], NULL, 10) : 1;
+  size_t last = sizeof sizes / sizeof sizes[0];
+  size_t first = 0;
+
+  if (count == 6)
+    {
+      run_one (arguments);
+      return 0;
+    }
+  if (count > 2)
+    {
+      first = strtoul (arguments[2], NULL, 10);
+      last = first < last ? first + 1 : 0;
+    }
+  if (count == 2 || first == sizeof sizes / sizeof sizes[0])
+    print_parts (seed);
+  for (; first < last; first++)
+    {
+      FleetSize size = complete_size (&sizes[first], seed);
+      FleetResult result;
+
+      fleet_measure (&size, &result);
+      print_fleet (&size, &result);
+    }
+  return 0;
+}
--- a/test/support/sim.c
+++ b/test/support/sim.c
@@ -132,10 +132,11 @@
 void
 sim_start (Sim *sim, SimNode *node)
 {
+  uint32_t records = sim->max_requests != 0 ? sim->max_requests : 16;
   TtBoardConfig config = { .incarnation = (uint64_t) sim->now_us + ++node->starts,
-                           .max_requests = 16,
-                           .max_attempts = 16,
-                           .max_accounts = 16,
+                           .max_requests = records,
+                           .max_attempts = records,
+                           .max_accounts = records,
                            .peer_port = 7000 };
 
   config.seed[0] = tt_rng_next (&sim->rng);
@@ -236,6 +237,8 @@
 
   while ((action = tt_board_take (node->board)) != NULL)
     {
+      if (sim->acted != NULL)
+        sim->acted (sim->context, node, action);
       if (action->type == TT_ACTION_PEER)
         send_message (sim, node, action);
       else if (action->type == TT_ACTION_ORDER)
@@ -266,6 +269,13 @@
     }
 }
 
+void
+sim_step (Sim *sim, SimNode *node, const TtEvent *event)
+{
+  tt_board_step (node->board, event, sim->now_us);
+  take_actions (sim, node);
+}
+
 /// Delivers one event. RETURN false if it was put back and must not be freed.
 static bool
 deliver (Sim *sim, SimEvent *event)
@@ -309,8 +319,7 @@
       told.platform = event->answer;
       told.platform.object = event->object;
     }
-  tt_board_step (node->board, &told, sim->now_us);
-  take_actions (sim, node);
+  sim_step (sim, node, &told);
   if (event->type != SIM_TICK)
     return true;
   sim_push (sim, event, sim->now_us + TT_TICK_US);
--- a/test/support/sim.h
+++ b/test/support/sim.h
@@ -69,6 +69,10 @@
   uint64_t order_fencing; ///< number of the last order
   int64_t order_us;       ///< time of the last order
   char order_role[TT_NAME_MAX];
+  uint32_t max_requests; ///< of each board, also of its accounts and attempts; 0 = 16
+  /// Told of each action before it is carried out; may be NULL.
+  void (*acted) (void *context, SimNode *node, const TtAction *action);
+  void *context;
 } Sim;
 
 Sim *sim_new (uint64_t seed);
@@ -86,6 +90,9 @@
 /// Ends a daemon without notice.
 void sim_stop (SimNode *node);
 
+/// Tells a daemon of an event and carries out what its board asks for.
+void sim_step (Sim *sim, SimNode *node, const TtEvent *event);
+
 /// Runs all daemons until the given time.
 void sim_run (Sim *sim, int64_t until_us);
 
