--- /dev/null
+++ b/bench/capacity/faults.c
@@ -0,0 +1,137 @@
+#include "fleet.h"
+#include "parts.h"
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  DOMAINS = 11,
+  REGION = 4 ///< failure domains of the region that is parted
+};
+
+#define HOUR_US (3600 * TT_SECOND_US)
+#define LIMIT_US (300 * TT_SECOND_US)
+
+static bool
+is_accepted (Sim *sim, uint64_t epoch)
+{
+  const SimObject *object = sim_object (sim, "config/accepted");
+
+  return object != NULL && object->object.accepted.epoch >= epoch;
+}
+
+/// Seconds until the change is in force on all reachable daemons, or accepted; -1 if not in time.
+static double
+wait_for (Sim *sim, uint64_t epoch, bool accepted)
+{
+  int64_t start_us = sim->now_us;
+
+  while (sim->now_us - start_us < LIMIT_US)
+    {
+      if (accepted ? is_accepted (sim, epoch) : sim_in_force (sim, epoch))
+        return (double) (sim->now_us - start_us) / 1e6;
+      sim_run (sim, sim->now_us + 100 * TT_MILLISECOND_US);
+    }
+  return -1.0;
+}
+
+static Sim *
+start_fleet (uint64_t seed)
+{
+  FleetSize size
+      = { .seed = seed, .domains = DOMAINS, .daemons = 22, .engines = 44, .records = 1200 };
+  Sim *sim = fleet_prepare (&size);
+
+  fleet_add_daemons (sim, &size, size.daemons);
+  sim_run (sim, sim->now_us + 60 * TT_SECOND_US);
+  return sim;
+}
+
+/// Rates of the daemons on one side.
+static void
+print_side (const Sim *sim, const SimNode *before, bool cut, double seconds)
+{
+  double sent = 0.0;
+  double calls = 0.0;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim->node_count; i++)
+    {
+      if (sim->cut[sim->nodes[i].domain] != cut)
+        continue;
+      count++;
+      sent += (double) (sim->nodes[i].sent_bytes - before[i].sent_bytes) / seconds;
+      calls += (double) (sim->nodes[i].reads + sim->nodes[i].writes - before[i].reads
+                         - before[i].writes)
+               / seconds;
+    }
+  printf ("| %s: bytes sent a second, calls of the platform a second, one daemon | %.0f, %.2f |\n",
+          cut ? "parted" : "others", sent / count, calls / count);
+}
+
+static void
+print_parted (uint64_t seed)
+{
+  static SimNode before[SIM_NODES];
+  Sim *sim = start_fleet (seed);
+  uint64_t epoch;
+
+  printf ("\n### A region parted for an hour\n\n11 failure domains of 2 daemons, 44 engines; 4 "
+          "domains reach neither each other, nor the rest, nor the platform. \"detached\": "
+          "\"wait\".\n\n| measure | value |\n|---|---|\n");
+  for (uint32_t d = 0; d < REGION; d++)
+    sim->cut[d] = true;
+  epoch = sim_apply (sim, "model-1", TT_DETACHED_WAIT, true);
+  printf ("| change in force on all others (s) | %.1f |\n", wait_for (sim, epoch, false));
+  memcpy (before, sim->nodes, sizeof before);
+  sim_run (sim, sim->now_us + HOUR_US);
+  print_side (sim, before, true, 3600.0);
+  print_side (sim, before, false, 3600.0);
+  printf ("| change accepted after the hour | %s |\n", is_accepted (sim, epoch) ? "yes" : "no");
+  memset (sim->cut, 0, sizeof sim->cut);
+  printf ("| after the end: in force on all daemons (s) | %.1f |\n", wait_for (sim, epoch, false));
+  printf ("| then accepted (s) | %.1f |\n", wait_for (sim, epoch, true));
+  sim_free (sim);
+}
+
+static void
+print_failed (uint64_t seed)
+{
+  Sim *sim = start_fleet (seed);
+  int64_t stopped_us = sim->now_us;
+  int64_t gone_us = 0;
+  uint64_t epoch;
+
+  printf ("\n### A failure domain fails\n\nThe same fleet; all daemons of one domain stop at once, "
+          "and the host list names them for 60 s more.\n\n| measure | value |\n|---|---|\n");
+  for (uint32_t i = 0; i < sim->node_count; i++)
+    if (sim->nodes[i].domain == 0)
+      sim_stop (&sim->nodes[i]);
+  epoch = sim_apply (sim, "model-1", TT_DETACHED_WAIT, true);
+  printf ("| change in force on all others (s) | %.1f |\n", wait_for (sim, epoch, false));
+  sim_run (sim, stopped_us + 60 * TT_SECOND_US);
+  printf ("| accepted while the list names them | %s |\n", is_accepted (sim, epoch) ? "yes" : "no");
+  for (uint32_t i = 0; i < sim->host_count; i++)
+    if (strcmp (sim->hosts[i].domain, "zone-0") == 0)
+      sim->hosts[i].leaving = true;
+  sim->hosts_version++;
+  printf ("| after the list drops them: accepted (s) | %.1f |\n", wait_for (sim, epoch, true));
+  for (uint32_t i = 0; i < sim->node_count && gone_us == 0; i++)
+    if (sim->nodes[i].board != NULL)
+      {
+        uint32_t live = 0;
+
+        TT_LIST_FOREACH (&sim->nodes[i].board->backends.all, it)
+          live += TT_CONTAINER_OF (it, TtBackendServer, link)->roster.state == TT_BACKEND_LIVE;
+        printf ("| engines that a daemon elsewhere still uses, of 44 | %u |\n", live);
+        gone_us = 1;
+      }
+  sim_free (sim);
+}
+
+void
+parts_print_faults (uint64_t seed)
+{
+  print_parted (seed);
+  print_failed (seed);
+}
--- a/bench/capacity/parts.h
+++ b/bench/capacity/parts.h
@@ -17,3 +17,6 @@
 
 /// Calls and bytes of a daemon's start in a running fleet.
 void parts_print_restart (uint64_t seed);
+
+/// Changes and calls while a region is parted for an hour and when a failure domain fails.
+void parts_print_faults (uint64_t seed);
--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -162,6 +162,8 @@
   parts_print_open (seed);
   printf ("\n## Restart of a daemon\n");
   parts_print_restart (seed);
+  printf ("\n## Faults\n");
+  parts_print_faults (seed);
 }
 
 /// Usage: capacity_bench SEED [NUMBER of a fleet, or DOMAINS DAEMONS ENGINES SECONDS]
