feat(bench): false suspicions and a fleet of three failure domains

Counts how often a live daemon is suspected, and runs the load of the target's engines with 99 daemons.

--- a/bench/capacity/faults.c
+++ b/bench/capacity/faults.c
@@ -6,7 +6,8 @@
 enum
 {
   DOMAINS = 11,
-  REGION = 4 ///< failure domains of the region that is parted
+  REGION = 4,  ///< failure domains of the region that is parted
+  CHANGES = 71 ///< of an hour: 1,700 a day
 };
 
 #define HOUR_US (3600 * TT_SECOND_US)
@@ -35,6 +36,17 @@
   return -1.0;
 }
 
+/// Entries of the audit trail.
+static uint32_t
+count_audit (const Sim *sim)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim->object_count; i++)
+    count += strncmp (sim->objects[i].key, "audit/", 6) == 0;
+  return count;
+}
+
 static Sim *
 start_fleet (uint64_t seed)
 {
@@ -75,6 +87,7 @@
   static SimNode before[SIM_NODES];
   Sim *sim = start_fleet (seed);
   uint64_t epoch;
+  uint32_t entries = count_audit (sim);
 
   printf ("\n### A region parted for an hour\n\n11 failure domains of 2 daemons, 44 engines; 4 "
           "domains reach neither each other, nor the rest, nor the platform. \"detached\": "
@@ -84,13 +97,24 @@
   epoch = sim_apply (sim, "model-1", TT_DETACHED_WAIT, true);
   printf ("| change in force on all others (s) | %.1f |\n", wait_for (sim, epoch, false));
   memcpy (before, sim->nodes, sizeof before);
-  sim_run (sim, sim->now_us + HOUR_US);
+  for (uint32_t change = 1; change < CHANGES; change++)
+    {
+      char team[TT_NAME_MAX];
+
+      (void) snprintf (team, sizeof team, "model-%u", change % FLEET_MODELS);
+      sim_run (sim, sim->now_us + HOUR_US / CHANGES);
+      epoch = sim_apply (sim, team, TT_DETACHED_WAIT, true);
+    }
+  sim_run (sim, sim->now_us + HOUR_US / CHANGES);
   print_side (sim, before, true, 3600.0);
   print_side (sim, before, false, 3600.0);
-  printf ("| change accepted after the hour | %s |\n", is_accepted (sim, epoch) ? "yes" : "no");
+  printf ("| last change accepted after the hour | %s |\n",
+          is_accepted (sim, epoch) ? "yes" : "no");
   memset (sim->cut, 0, sizeof sim->cut);
   printf ("| after the end: in force on all daemons (s) | %.1f |\n", wait_for (sim, epoch, false));
   printf ("| then accepted (s) | %.1f |\n", wait_for (sim, epoch, true));
+  printf ("| changes of the hour; entries of the audit trail for them | %d; %u |\n", CHANGES,
+          count_audit (sim) - entries);
   sim_free (sim);
 }
 
--- a/bench/capacity/fleet.c
+++ b/bench/capacity/fleet.c
@@ -121,6 +121,8 @@
       push_due (&run->first, (Due){ now_us + FIRST_TOKEN_US, node, id });
       push_due (&run->done, (Due){ now_us + (int64_t) (run->size->duration_s * 1e6), node, id });
     }
+  else if (action->type == TT_ACTION_LOG)
+    run->result->suspicions += run->measuring && action->log.event == TT_LOG_MEMBER_SUSPECT;
   else if (action->type == TT_ACTION_REPLY)
     run->not_run += run->measuring && action->reply.outcome != TT_OUTCOME_COMPLETE;
   else if (action->type == TT_ACTION_PEER && run->measuring)
@@ -460,6 +462,7 @@
       result->message_bytes[type] /= result->messages[type] > 0.0 ? result->messages[type] : 1.0;
       result->messages[type] /= per_daemon;
     }
+  result->suspicions /= per_daemon;
   result->worst_us = worst_s * 1e6;
   result->done = (double) run.completed / seconds;
   result->not_run = run.serial > 0 ? (double) run.not_run / (double) run.serial : 0.0;
--- a/bench/capacity/fleet.h
+++ b/bench/capacity/fleet.h
@@ -50,10 +50,11 @@
   double open_requests;               ///< of one daemon at the end
   double done;                        ///< requests completed a second
   double not_run;                     ///< part of the requests
-  uint64_t pool_full;                 ///< records refused because of a bound
-  double account_error;               ///< mean error of fleet_in_flight, part of the truth
-  double keepers_most;                ///< engines of the keeper with the most
-  double in_force_s;                  ///< slowest change, until in force on all daemons
+  double suspicions;    ///< of other daemons, by one daemon, a second; all of them are alive
+  uint64_t pool_full;   ///< records refused because of a bound
+  double account_error; ///< mean error of fleet_in_flight, part of the truth
+  double keepers_most;  ///< engines of the keeper with the most
+  double in_force_s;    ///< slowest change, until in force on all daemons
   uint32_t changes;
 } FleetResult;
 
--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -19,6 +19,8 @@
   { .domains = 11, .daemons = 110, .engines = 880 },
   { .domains = 11, .daemons = 220, .engines = 880 },
   { .domains = 11, .daemons = 360, .engines = 880 },
+  // The load of an engine and the size of a failure domain as in the first and the last one.
+  { .domains = 3, .daemons = 99, .engines = 240 },
 };
 
 /// Processor time of a second of control, without the steps of requests.
@@ -99,6 +101,7 @@
   printf ("| requests not completed, part | %.4f |\n", result->not_run);
   printf ("| records refused because of a bound | %llu |\n",
           (unsigned long long) result->pool_full);
+  printf ("| suspicions of live daemons a second, one daemon | %.3f |\n", result->suspicions);
   printf ("| most engines of one keeper | %.0f |\n", result->keepers_most);
   printf ("| error of an account's fleet-wide count, part of the truth | %.3f |\n",
           result->account_error);
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -20,8 +20,8 @@
   exit
 fi
 
-# 0 to 4 are the fleets, 5 the parts; the rest are fleets under callgrind.
-printf '%s\n' 4 3 2 1 0 5 |
+# 0 to 5 are the fleets, 6 the parts; the rest are fleets under callgrind.
+printf '%s\n' 4 3 2 1 0 5 6 |
   xargs -P "${JOBS:-3}" -I{} sh -c "$build/bench/capacity_bench $seed {} > '$work/part-{}'"
 printf '%s\n' '1 11 80' '1 22 80' '1 33 80' '11 33 440' '11 33 880' '11 66 880' |
   xargs -P "${JOBS:-3}" -I{} sh -c \
@@ -36,7 +36,7 @@
 its own. Bytes are those of the encoder (codec/peer.c), without the framing of ZeroMQ, CURVE and TCP.
 docs/CAPACITY.md says what follows.
 HEAD
-  cat "$work/part-5"
+  cat "$work/part-6"
   printf '\n## Instructions of a second of one daemon\n\n'
   printf 'All steps of the board at 15.6 requests a second of 3 s (callgrind).\n\n'
   printf '| failure domains | daemons | engines | instructions a second |\n|---|---|---|---|\n'
@@ -46,5 +46,5 @@
   printf '\n## Whole fleets under load\n\n'
   printf 'Each daemon gets 15.6 requests a second of 13 s; 17 documents with 1,105 client accounts; a\n'
   printf 'change every 10 s. Rates are means over 20 simulated seconds.\n'
-  cat "$work/part-0" "$work/part-1" "$work/part-2" "$work/part-3" "$work/part-4"
+  cat "$work/part-0" "$work/part-5" "$work/part-1" "$work/part-2" "$work/part-3" "$work/part-4"
 } > docs/measurements/capacity.md
