fix(config): a refused change is passed on with the document that it did not replace

Cause: a daemon that had refused a change answered its peers with the document still in force, under the epoch of the refused change. A peer that got this answer before it had read the platform took the old document for the one that the head names: it did not note the refusal, and the hash of the head differed from its own at the same epoch, which is the sign of a restored store. Change: the slot keeps the epoch of the change that brought its document in force, and answers to peers give that one. The receiver then reads the refused document from the platform itself.

--- a/src/tarragontrack/board/config_defs.h
+++ b/src/tarragontrack/board/config_defs.h
@@ -30,7 +30,9 @@
   char *old_text;
   uint64_t call; ///< open read of the wanted document; 0 = none
   int64_t next_fetch_us;
-  bool refused;          ///< the document of `epoch` was refused; an earlier one is in force
+  uint64_t document_generation; ///< of the change that brought the document in force
+  uint64_t document_epoch;      ///< differs from `epoch` after a refused change
+  bool refused;                 ///< the document of `epoch` was refused; an earlier one is in force
   bool refused_detached; ///< no contact for detach_after_s: `admit` refuses the team's requests
   uint64_t refuse_from_epoch; ///< since this epoch all documents said "refuse"; 0 = unknown
   uint32_t refuse_after_s;    ///< longest detach_after_s of these documents
--- a/src/tarragontrack/control/document_store.c
+++ b/src/tarragontrack/control/document_store.c
@@ -139,7 +139,11 @@
   slot->epoch = document->epoch;
   slot->refused = document->document == NULL;
   if (!slot->refused)
-    record_detached (slot, document->document, document->epoch);
+    {
+      slot->document_generation = document->generation;
+      slot->document_epoch = document->epoch;
+      record_detached (slot, document->document, document->epoch);
+    }
   record_change (board, document, slot->refused, now_us);
   board->dirty = true;
   return TT_OK;
@@ -262,6 +266,8 @@
           && tt_digest_equal (&slot->hash, &team->hash))
         {
           slot->generation = head->generation;
+          slot->document_generation = head->generation;
+          slot->document_epoch = slot->epoch;
           continue;
         }
       if (slot->wanted_generation == head->generation && slot->wanted_epoch == team->epoch
@@ -296,12 +302,15 @@
       partial
           = partial
             || tt_member_newer (slot->generation, slot->epoch, section->generation, section->epoch);
+      // After a refused change the document is sent under its own epoch: under the refused one it
+      // would pass for the document that the head names.
       if (slot->document == NULL
-          || !tt_member_newer (slot->generation, slot->epoch, ask->document.generation,
-                               ask->document.epoch))
+          || !tt_member_newer (slot->document_generation, slot->document_epoch,
+                               ask->document.generation, ask->document.epoch))
         continue;
       if (next == NULL
-          || tt_member_newer (next->generation, next->epoch, slot->generation, slot->epoch))
+          || tt_member_newer (next->document_generation, next->document_epoch,
+                              slot->document_generation, slot->document_epoch))
         next = slot;
     }
   // A document beyond the epoch in force has replaced one that the end of the answers would claim
@@ -311,8 +320,8 @@
   answer = tt_board_send (board, member, TT_PEER_DOCUMENT);
   if (answer == NULL)
     return;
-  answer->document.generation = next != NULL ? next->generation : section->generation;
-  answer->document.epoch = next != NULL ? next->epoch : section->epoch;
+  answer->document.generation = next != NULL ? next->document_generation : section->generation;
+  answer->document.epoch = next != NULL ? next->document_epoch : section->epoch;
   if (next == NULL)
     return;
   (void) snprintf (answer->document.team, sizeof answer->document.team, "%s", next->team);
