--- a/test/fuzz/object_fuzz.c
+++ b/test/fuzz/object_fuzz.c
@@ -1,21 +1,10 @@
 #include "tarragontrack/codec/digest.h"
 #include "tarragontrack/codec/object.h"
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerInitialize (int *argc, char ***argv);
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-/// Selects json-c's hash without a random seed, so that each run does the same.
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void) argc, (void) argv;
-  (void) json_global_set_string_hash (JSON_C_STR_HASH_PERLLIKE);
-  return 0;
-}
-
 /// Reads a text under a key; the key of a document is the hash of the text.
 static TtObject *
 read_text (const char *prefix, const char *text, size_t size)
--- a/test/fuzz/peer_fuzz.c
+++ b/test/fuzz/peer_fuzz.c
@@ -1,20 +1,9 @@
 #include "tarragontrack/codec/peer.h"
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerInitialize (int *argc, char ***argv);
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-/// Selects json-c's hash without a random seed, so that each run does the same.
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void) argc, (void) argv;
-  (void) json_global_set_string_hash (JSON_C_STR_HASH_PERLLIKE);
-  return 0;
-}
-
 /// Guards against reads out of bounds, memory without bound, and a message that changes when it is
 /// written and read again.
 int
