--- a/bench/capacity/faults.c
+++ b/bench/capacity/faults.c
@@ -16,7 +16,7 @@
 static bool
 is_accepted (Sim *sim, uint64_t epoch)
 {
-  const SimObject *object = sim_object (sim, "config/accepted");
+  const StoreItem *object = sim_object (sim, "config/accepted");
 
   return object != NULL && object->object.accepted.epoch >= epoch;
 }
@@ -42,8 +42,8 @@
 {
   uint32_t count = 0;
 
-  for (uint32_t i = 0; i < sim->object_count; i++)
-    count += strncmp (sim->objects[i].key, "audit/", 6) == 0;
+  for (uint32_t i = 0; i < sim->store->count; i++)
+    count += strncmp (sim->store->items[i].key, "audit/", 6) == 0;
   return count;
 }
 
@@ -69,7 +69,7 @@
 
   for (uint32_t i = 0; i < sim->node_count; i++)
     {
-      if (sim->cut[sim->nodes[i].domain] != cut)
+      if (sim->cut[sim->nodes[i].domain][SIM_PLATFORM] != cut)
         continue;
       count++;
       sent += (double) (sim->nodes[i].sent_bytes - before[i].sent_bytes) / seconds;
@@ -93,7 +93,7 @@
           "domains reach neither each other, nor the rest, nor the platform. \"detached\": "
           "\"wait\".\n\n| measure | value |\n|---|---|\n");
   for (uint32_t d = 0; d < REGION; d++)
-    sim->cut[d] = true;
+    sim_isolate (sim, d, true);
   epoch = sim_apply (sim, "model-1", TT_DETACHED_WAIT, true);
   printf ("| change in force on all others (s) | %.1f |\n", wait_for (sim, epoch, false));
   memcpy (before, sim->nodes, sizeof before);
@@ -110,7 +110,8 @@
   print_side (sim, before, false, 3600.0);
   printf ("| last change accepted after the hour | %s |\n",
           is_accepted (sim, epoch) ? "yes" : "no");
-  memset (sim->cut, 0, sizeof sim->cut);
+  for (uint32_t d = 0; d < REGION; d++)
+    sim_isolate (sim, d, false);
   printf ("| after the end: in force on all daemons (s) | %.1f |\n", wait_for (sim, epoch, false));
   printf ("| then accepted (s) | %.1f |\n", wait_for (sim, epoch, true));
   printf ("| changes of the hour; entries of the audit trail for them | %d; %u |\n", CHANGES,
@@ -135,10 +136,10 @@
   printf ("| change in force on all others (s) | %.1f |\n", wait_for (sim, epoch, false));
   sim_run (sim, stopped_us + 60 * TT_SECOND_US);
   printf ("| accepted while the list names them | %s |\n", is_accepted (sim, epoch) ? "yes" : "no");
-  for (uint32_t i = 0; i < sim->host_count; i++)
-    if (strcmp (sim->hosts[i].domain, "zone-0") == 0)
-      sim->hosts[i].leaving = true;
-  sim->hosts_version++;
+  for (uint32_t i = 0; i < sim->store->host_count; i++)
+    if (strcmp (sim->store->hosts[i].domain, "zone-0") == 0)
+      sim->store->hosts[i].leaving = true;
+  sim->store->hosts_version++;
   printf ("| after the list drops them: accepted (s) | %.1f |\n", wait_for (sim, epoch, true));
   for (uint32_t i = 0; i < sim->node_count && gone_us == 0; i++)
     if (sim->nodes[i].board != NULL)
--- a/bench/capacity/fleet.c
+++ b/bench/capacity/fleet.c
@@ -109,9 +109,10 @@
 
 /// Counts what a daemon asks for, and starts its attempts.
 static void
-note_action (void *context, SimNode *node, const TtAction *action)
+note_action (void *context, uint32_t index, const TtAction *action)
 {
   Run *run = context;
+  SimNode *node = &run->sim->nodes[index];
   int64_t now_us = run->sim->now_us;
 
   if (action->type == TT_ACTION_DISPATCH)
@@ -147,13 +148,13 @@
       queue->count--;
       event.attempt.attempt_id = due->attempt_id;
       event.attempt.tokens = done ? TOKENS - 1 : 1;
-      sim_step (run->sim, due->node, &event);
+      sim_step (run->sim, (uint32_t) (due->node - run->sim->nodes), &event);
       if (!done)
         continue;
       event = (TtEvent){ .type = TT_EVENT_ATTEMPT_DONE };
       event.attempt.attempt_id = due->attempt_id;
       event.attempt.status = 200;
-      sim_step (run->sim, due->node, &event);
+      sim_step (run->sim, (uint32_t) (due->node - run->sim->nodes), &event);
       run->completed += run->measuring;
     }
 }
@@ -173,7 +174,7 @@
 
   (void) snprintf (spec.account, sizeof spec.account, "account-%u", account);
   (void) snprintf (spec.service, sizeof spec.service, "model-%u", account % FLEET_MODELS);
-  sim_step (run->sim, node, &event);
+  sim_step (run->sim, (uint32_t) (node - run->sim->nodes), &event);
 }
 
 /// Each engine's load report goes to two daemons of its failure domain, once a second.
@@ -188,7 +189,7 @@
       {
         uint32_t rank = (e / size->domains + poller) % (per_domain > 0 ? per_domain : 1);
         SimNode *node = &run->sim->nodes[rank * size->domains + e % size->domains];
-        const TtHostEntry *host = &run->sim->hosts[e];
+        const TtHostEntry *host = &run->sim->store->hosts[e];
         TtEvent event = { .type = TT_EVENT_LOAD_REPORT };
 
         event.load.backend_id = tt_hash_string (host->name);
@@ -196,7 +197,7 @@
         memcpy (event.load.role.model, host->service, TT_NAME_MAX);
         (void) snprintf (event.load.role.role, TT_NAME_MAX, "serve");
         if (node->board != NULL)
-          sim_step (run->sim, node, &event);
+          sim_step (run->sim, (uint32_t) (node - run->sim->nodes), &event);
       }
 }
 
@@ -219,7 +220,7 @@
     }
 }
 
-/// Puts the services and accounts of a team into the document that sim_apply() made.
+/// Fills in the service's limits and the accounts of a team.
 static void
 fill_document (TtDocument *document, uint32_t team)
 {
@@ -248,13 +249,19 @@
 static uint64_t
 apply_change (Sim *sim, uint32_t team)
 {
-  char name[TT_NAME_MAX];
-  uint64_t epoch;
-
-  (void) snprintf (name, sizeof name, "model-%u", team);
-  epoch = sim_apply (sim, name, TT_DETACHED_WAIT, true);
-  fill_document (sim->documents[sim->document_count - 1], team);
-  return epoch;
+  static TtDocument document;
+
+  memset (&document, 0, sizeof document);
+  (void) snprintf (document.team, sizeof document.team, "model-%u", team);
+  document.team_id = tt_hash_string (document.team);
+  document.detached = TT_DETACHED_WAIT;
+  document.detach_after_s = 20;
+  document.service_count = 1;
+  document.services[0].min_replicas = 1;
+  (void) snprintf (document.services[0].name, TT_NAME_MAX, "%s", document.team);
+  document.services[0].id = document.team_id;
+  fill_document (&document, team);
+  return sim_stage (sim, document.team, &document, ++sim->document_count);
 }
 
 Sim *
@@ -264,7 +271,9 @@
   char domain[TT_NAME_MAX];
   char service[TT_NAME_MAX];
 
-  sim->max_requests = size->records;
+  sim->board.max_requests = size->records;
+  sim->board.max_attempts = size->records;
+  sim->board.max_accounts = size->records;
   for (uint32_t i = 0; i < size->engines; i++)
     {
       TtHostEntry *host;
@@ -273,7 +282,7 @@
       (void) snprintf (domain, sizeof domain, "zone-%u", i % size->domains);
       (void) snprintf (service, sizeof service, "model-%u", i / size->domains % FLEET_MODELS);
       sim_add_engines (sim, 1, service, domain);
-      host = &sim->hosts[sim->host_count - 1];
+      host = &sim->store->hosts[sim->store->host_count - 1];
       (void) snprintf (host->name, sizeof host->name, "engine-%u", i);
       host->batch_limit = BATCH_LIMIT;
       host->port = 9000;
@@ -296,9 +305,9 @@
       (void) snprintf (domain, sizeof domain, "zone-%u", i % size->domains);
       (void) snprintf (name, sizeof name, "entry-%u", i);
       node = sim_add (sim, name, domain);
-      (void) snprintf (sim->hosts[sim->host_count - 1].address, TT_ADDRESS_MAX, "10.0.%u.%u",
-                       i / 250, i % 250 + 1);
-      sim->hosts[sim->host_count - 1].port = 7000;
+      (void) snprintf (sim->store->hosts[sim->store->host_count - 1].address, TT_ADDRESS_MAX,
+                       "10.0.%u.%u", i / 250, i % 250 + 1);
+      sim->store->hosts[sim->store->host_count - 1].port = 7000;
       if (i >= count)
         sim_stop (node);
     }
@@ -440,8 +449,8 @@
   run.sim = fleet_prepare (size);
   if (before == NULL || run.first.items == NULL || run.done.items == NULL)
     abort ();
-  run.sim->acted = note_action;
-  run.sim->context = &run;
+  run.sim->hooks.note = note_action;
+  run.sim->hooks.context = &run;
   fleet_add_daemons (run.sim, size, size->daemons);
   run_until (&run, run.sim->now_us + size->warm_s * TT_SECOND_US);
   memcpy (before, run.sim->nodes, SIM_NODES * sizeof *before);
