--- a/bench/capacity/parts.c
+++ b/bench/capacity/parts.c
@@ -288,7 +288,7 @@
 
       fleet_add_daemons (sim, &size, 0);
       object = (TtObject){ .type = TT_OBJECT_HOSTS };
-      object.hosts = (TtHostsObject){ .hosts = sim->hosts, .count = sim->store->host_count };
+      object.hosts = (TtHostsObject){ .hosts = sim->store->hosts, .count = sim->store->host_count };
       printf ("| host list, %u hosts | %zu |\n", sim->store->host_count,
               object_bytes (&object, "hosts"));
       sim_free (sim);
