fix(member): short beats keep live daemons from being suspected

Cause: with 33 daemons in a failure domain a gossip message has room for two or three whole entries, so live daemons were suspected 0.91 times a second by each daemon, and keepers of engines flapped. Change: gossip carries up to 32 beats of 9 bytes (id, incarnation, heartbeat); counts of client accounts are sent only for accounts with limits, and admit alone sums them up.

--- a/bench/capacity/parts.c
+++ b/bench/capacity/parts.c
@@ -30,7 +30,6 @@
   { "attempts (limits.max_attempts)", sizeof (TtAttempt), MAX_ATTEMPTS },
   { "client accounts (limits.max_accounts)", sizeof (TtClientAccount), MAX_ACCOUNTS },
   { "flows of admission", sizeof (TtAdmitFlow), MAX_REQUESTS + TT_IDLE_FLOWS },
-  { "account counts of admission", sizeof (TtAccountPeer), TT_ACCOUNT_PEERS },
   { "account counts of members", sizeof (TtMemberAccount), TT_MEMBER_ACCOUNTS },
   { "members", sizeof (TtMember), TT_MAX_MEMBERS },
   { "backend servers", sizeof (TtBackendServer), TT_MAX_BACKENDS },
--- a/src/tarragontrack/board/admit_defs.h
+++ b/src/tarragontrack/board/admit_defs.h
@@ -9,8 +9,7 @@
 enum
 {
   TT_ACCOUNT_BUCKETS = 256,
-  TT_IDLE_FLOWS = 1024,
-  TT_ACCOUNT_PEERS = 4096 ///< counts of other daemons; the oldest of a slot is replaced
+  TT_IDLE_FLOWS = 1024
 };
 
 /// A client account of a document in force.
@@ -28,15 +27,6 @@
   bool retired; ///< in no document any more; freed with its last request
 } TtClientAccount;
 
-/// Requests of an account past the queue of another daemon, from gossip.
-typedef struct
-{
-  uint64_t account_id; ///< 0 = unused
-  uint64_t member_id;
-  uint32_t in_flight;
-  int64_t seen_us;
-} TtAccountPeer;
-
 typedef struct TtPool TtPool;
 
 /// Requests of one account, service, priority and length class that wait, in order of arrival.
@@ -93,7 +83,6 @@
   TtList flow_buckets[TT_ACCOUNT_BUCKETS]; ///< TtAdmitFlow.bucket_link, by key
   TtList idle_flows;                       ///< nothing waits; the tag is kept, oldest first
   TtList free_flows;
-  TtAccountPeer *peers; ///< TT_ACCOUNT_PEERS entries
   int64_t next_sum_us;
   uint32_t max_accounts;
   uint32_t queued;
--- a/src/tarragontrack/board/member_defs.h
+++ b/src/tarragontrack/board/member_defs.h
@@ -81,6 +81,7 @@
   uint32_t rank;           ///< of this daemon among the live ones of its domain; 0 = first
   uint32_t load_cursor;    ///< positions of the rotation over what a message has no room for
   uint32_t account_cursor;
+  uint32_t beat_cursor;
   uint32_t suspect_cursor;
   uint64_t lowest_generation; ///< lowest epoch in force in the own failure domain
   uint64_t lowest_epoch;
--- a/src/tarragontrack/board/peer_defs.h
+++ b/src/tarragontrack/board/peer_defs.h
@@ -11,6 +11,7 @@
 {
   TT_PEER_VERSION = 1,   ///< protocol version written; lower ones are read
   TT_PEER_MEMBERS = 64,  ///< member entries in one gossip message
+  TT_PEER_BEATS = 32,    ///< beats in one gossip message
   TT_PEER_LOADS = 48,    ///< engine loads in one gossip message
   TT_PEER_ACCOUNTS = 32, ///< account sums in one gossip message
   TT_PEER_SUSPECTS = 16, ///< suspect fingerprints in one gossip message
@@ -49,6 +50,14 @@
   uint32_t strikes;
 } TtPeerSuspect;
 
+/// That a daemon was alive: the short form of an entry without news.
+typedef struct
+{
+  uint32_t id;         ///< low half of the member's id
+  uint8_t incarnation; ///< low 7 bits, so that a beat of an earlier process does not count
+  uint32_t heartbeat;
+} TtPeerBeat;
+
 /// Lowest epoch in force in a failure domain, from its gateway.
 typedef struct
 {
@@ -62,6 +71,8 @@
 {
   TtMemberEntry members[TT_PEER_MEMBERS]; ///< the first is the sender
   uint32_t member_count;
+  TtPeerBeat beats[TT_PEER_BEATS];
+  uint32_t beat_count;
   TtPeerLoad loads[TT_PEER_LOADS];
   uint32_t load_count;
   TtPeerAccount accounts[TT_PEER_ACCOUNTS];
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -246,6 +246,14 @@
       gossip->domains[i].members = take_u32 (&fields, UINT32_MAX);
     }
   gossip->domain_count = list.count;
+  list = take_array (body, 3 * TT_PEER_BEATS);
+  gossip->beat_count = list.count / 3;
+  for (uint32_t i = 0; i < gossip->beat_count; i++)
+    {
+      gossip->beats[i].id = take_u32 (&list, UINT32_MAX);
+      gossip->beats[i].incarnation = (uint8_t) take_u32 (&list, 127);
+      gossip->beats[i].heartbeat = take_u32 (&list, UINT32_MAX);
+    }
 }
 
 static void
--- a/src/tarragontrack/codec/peer_write.c
+++ b/src/tarragontrack/codec/peer_write.c
@@ -91,9 +91,10 @@
 {
   if (gossip->member_count > TT_PEER_MEMBERS || gossip->load_count > TT_PEER_LOADS
       || gossip->account_count > TT_PEER_ACCOUNTS || gossip->suspect_count > TT_PEER_SUSPECTS
-      || gossip->leaving_count > TT_PEER_SLOTS || gossip->domain_count > TT_PEER_DOMAINS)
+      || gossip->leaving_count > TT_PEER_SLOTS || gossip->domain_count > TT_PEER_DOMAINS
+      || gossip->beat_count > TT_PEER_BEATS)
     return TT_E_INVALID;
-  (void) msgpack_pack_array (packer, 6);
+  (void) msgpack_pack_array (packer, 7);
   pack_members (packer, gossip);
   pack_loads (packer, gossip);
   pack_accounts (packer, gossip);
@@ -110,6 +111,13 @@
       (void) msgpack_pack_uint64 (packer, gossip->domains[i].epoch);
       (void) msgpack_pack_uint32 (packer, gossip->domains[i].members);
     }
+  (void) msgpack_pack_array (packer, 3 * gossip->beat_count);
+  for (uint32_t i = 0; i < gossip->beat_count; i++)
+    {
+      (void) msgpack_pack_uint32 (packer, gossip->beats[i].id);
+      (void) msgpack_pack_uint8 (packer, gossip->beats[i].incarnation);
+      (void) msgpack_pack_uint32 (packer, gossip->beats[i].heartbeat);
+    }
   return TT_OK;
 }
 
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -170,8 +170,6 @@
   (void) context;
   if (event->type == TT_EVENT_REQUEST)
     enter_request (board, event->request, now_us);
-  else if (event->type == TT_EVENT_PEER && event->peer->type == TT_PEER_GOSSIP)
-    tt_admit_hear_accounts (board, &event->peer->gossip, now_us);
   else if (event->type == TT_EVENT_TICK)
     {
       tt_admit_sum_accounts (board, now_us);
--- a/src/tarragontrack/control/admit.h
+++ b/src/tarragontrack/control/admit.h
@@ -16,9 +16,6 @@
 /// Looks up an account of a team; NULL if its document in force has none of this name.
 TtClientAccount *tt_admit_find_account (TtBoard *board, uint64_t team_id, uint64_t account_id);
 
-/// Takes over the sums that another daemon reports.
-void tt_admit_hear_accounts (TtBoard *board, const TtPeerGossip *gossip, int64_t now_us);
-
 /// Adds up the fleet's requests by account, at most once a second.
 void tt_admit_sum_accounts (TtBoard *board, int64_t now_us);
 
--- a/src/tarragontrack/control/admit_account.c
+++ b/src/tarragontrack/control/admit_account.c
@@ -1,12 +1,12 @@
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/hash.h"
 #include "tarragontrack/control/admit.h"
+#include "tarragontrack/control/member.h"
 #include <stdlib.h>
 #include <string.h>
 
 #define SUM_PERIOD_US (1 * TT_SECOND_US)
-#define PEER_EXPIRY_US (30 * TT_SECOND_US) // a count arrives every N/2 s among N daemons
-#define BURST_US (1 * TT_SECOND_US)        // of the rate that may start at once
+#define BURST_US (1 * TT_SECOND_US) // of the rate that may start at once
 
 int
 tt_admit_open_accounts (TtBoard *board)
@@ -20,8 +20,7 @@
   for (int i = 0; i < TT_ACCOUNT_BUCKETS; i++)
     tt_list_init (&section->buckets[i]);
   section->pool = calloc (section->max_accounts, sizeof *section->pool);
-  section->peers = calloc (TT_ACCOUNT_PEERS, sizeof *section->peers);
-  if (section->pool == NULL || section->peers == NULL)
+  if (section->pool == NULL)
     return TT_E_NO_MEMORY;
   for (uint32_t i = 0; i < section->max_accounts; i++)
     tt_list_append (&section->free_accounts, &section->pool[i].link);
@@ -32,7 +31,6 @@
 tt_admit_close_accounts (TtBoard *board)
 {
   free (board->admit.pool);
-  free (board->admit.peers);
 }
 
 TtClientAccount *
@@ -122,25 +120,6 @@
   free_retired (board);
 }
 
-void
-tt_admit_hear_accounts (TtBoard *board, const TtPeerGossip *gossip, int64_t now_us)
-{
-  uint64_t self_id = tt_hash_string (board->config.name);
-
-  for (uint32_t i = 0; i < gossip->account_count && i < TT_PEER_ACCOUNTS; i++)
-    {
-      const TtPeerAccount *peer = &gossip->accounts[i];
-      uint64_t slot = tt_hash_pair (peer->account_id, peer->member_id) % TT_ACCOUNT_PEERS;
-
-      if (peer->account_id == 0 || peer->member_id == self_id)
-        continue;
-      board->admit.peers[slot] = (TtAccountPeer){ .account_id = peer->account_id,
-                                                  .member_id = peer->member_id,
-                                                  .in_flight = peer->in_flight,
-                                                  .seen_us = now_us };
-    }
-}
-
 void
 tt_admit_sum_accounts (TtBoard *board, int64_t now_us)
 {
@@ -154,21 +133,8 @@
     {
       TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
 
-      account->fleet_in_flight = account->in_flight;
-    }
-  for (uint32_t i = 0; i < TT_ACCOUNT_PEERS; i++)
-    {
-      const TtAccountPeer *peer = &section->peers[i];
-
-      if (peer->account_id == 0 || now_us - peer->seen_us > PEER_EXPIRY_US)
-        continue;
-      TT_LIST_FOREACH (&section->buckets[peer->account_id % TT_ACCOUNT_BUCKETS], it)
-        {
-          TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, bucket_link);
-
-          if (account->spec.id == peer->account_id)
-            account->fleet_in_flight += peer->in_flight;
-        }
+      account->fleet_in_flight
+          = account->in_flight + tt_gossip_account_sum (board, account->spec.id, now_us);
     }
 }
 
--- a/src/tarragontrack/control/gossip.c
+++ b/src/tarragontrack/control/gossip.c
@@ -15,6 +15,10 @@
 /// MANY_DOMAINS: a gateway sends and receives one message for each of them in two seconds.
 #define MANY_DOMAINS 5
 #define SUMS_FEW 1
+/// With two messages a second, a beat of each of 33 daemons reaches the others well within
+/// TT_MEMBER_SUSPECT_US; whole entries alone do not: at 33 daemons live ones were suspected.
+#define BEATS_PER_MESSAGE 32
+#define BEAT_AGE_US (3 * TT_SECOND_US)
 #define SUSPECTS_PER_MESSAGE 4
 #define LEAVING_PER_MESSAGE 16
 /// Loads and account counts told by their owner itself within this time are passed on once.
@@ -27,6 +31,7 @@
 {
   FRAME_BYTES = 24,
   ENTRY_BYTES = 9 + 9 + 9 + 5 + 1 + 5 + 2 + 3 + 2,
+  BEAT_BYTES = 5 + 1 + 3,
   LOAD_BYTES = 9 + 3 + 3 + 1,
   ACCOUNT_BYTES = 9 + 9 + 3 + 1,
   SUSPECT_BYTES = 9 + 9 + 2 + 1,
@@ -56,9 +61,9 @@
     return bytes + 14;
   for (uint32_t i = 0; i < gossip->member_count; i++)
     bytes += entry_bytes (&gossip->members[i]);
-  return bytes + gossip->load_count * LOAD_BYTES + gossip->account_count * ACCOUNT_BYTES
-         + gossip->suspect_count * SUSPECT_BYTES + gossip->leaving_count * LEAVING_BYTES
-         + gossip->domain_count * DOMAIN_BYTES;
+  return bytes + gossip->beat_count * BEAT_BYTES + gossip->load_count * LOAD_BYTES
+         + gossip->account_count * ACCOUNT_BYTES + gossip->suspect_count * SUSPECT_BYTES
+         + gossip->leaving_count * LEAVING_BYTES + gossip->domain_count * DOMAIN_BYTES;
 }
 
 /// Adds the loads of engines that this daemon keeps, then those it was told by their keepers.
@@ -106,6 +111,13 @@
     }
 }
 
+/// Counts are needed only for accounts whose limits hold for the fleet.
+static bool
+has_limit (const TtClientAccount *account)
+{
+  return account->spec.max_in_flight > 0 || account->spec.requests_per_s > 0.0;
+}
+
 /// Adds own counts of client accounts, then those that other daemons told of themselves.
 static void
 add_accounts (TtBoard *board, TtPeerGossip *gossip, int64_t now_us)
@@ -128,7 +140,7 @@
           break;
         }
       section->account_cursor = position;
-      if (account->in_flight == 0)
+      if (account->in_flight == 0 || !has_limit (account))
         continue;
       gossip->accounts[gossip->account_count++]
           = (TtPeerAccount){ account->spec.id, section->self->entry.id, account->in_flight };
@@ -186,6 +198,33 @@
     }
 }
 
+/// Adds beats of daemons of the own failure domain that were heard lately, in turns.
+static void
+add_beats (TtBoard *board, TtPeerGossip *gossip, int64_t now_us)
+{
+  TtMemberSection *section = &board->member;
+  uint32_t position = 0;
+
+  TT_LIST_FOREACH (&section->all, it)
+    {
+      const TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
+      const TtMemberEntry *entry = &member->entry;
+
+      if (member->self || entry->domain_id != board->domain_id || member->heard_us == 0
+          || now_us - member->heard_us > BEAT_AGE_US)
+        continue;
+      if (position++ < section->beat_cursor)
+        continue;
+      if (gossip->beat_count == BEATS_PER_MESSAGE)
+        return;
+      section->beat_cursor = position;
+      gossip->beats[gossip->beat_count++]
+          = (TtPeerBeat){ (uint32_t) entry->id, (uint8_t) (entry->incarnation & 127),
+                          entry->heartbeat };
+    }
+  section->beat_cursor = 0;
+}
+
 /// Adds member entries of the own failure domain, those carried least often first.
 static void
 add_members (TtBoard *board, TtPeerMessage *message, uint32_t budget)
@@ -249,6 +288,7 @@
   add_loads (board, &message->gossip, now_us);
   add_accounts (board, &message->gossip, now_us);
   add_suspects (board, &message->gossip);
+  add_beats (board, &message->gossip, now_us);
   // What the others leave over goes to member entries; at least a third of a message remains.
   add_members (board, message, MESSAGE_BYTES);
   mark_carried (board);
@@ -380,7 +420,7 @@
 
       if (skip > 0)
         skip--;
-      else if (account->fleet_in_flight > 0 && gossip->account_count < limit)
+      else if (account->fleet_in_flight > 0 && has_limit (account) && gossip->account_count < limit)
         gossip->accounts[gossip->account_count++]
             = (TtPeerAccount){ account->spec.id, board->domain_id, domain_sum (board, account) };
     }
--- a/src/tarragontrack/control/gossip_read.c
+++ b/src/tarragontrack/control/gossip_read.c
@@ -44,22 +44,17 @@
                                direct };
 }
 
-/// Writes the sum of each client account's requests in flight over the daemons.
-static void
-sum_accounts (TtBoard *board, int64_t now_us)
+uint32_t
+tt_gossip_account_sum (TtBoard *board, uint64_t account_id, int64_t now_us)
 {
   int64_t expiry_us = ACCOUNT_EXPIRY_US + ACCOUNT_EXPIRY_MEMBER_US * board->member.live_in_domain;
+  const TtMemberAccount *bucket = tt_gossip_accounts (board, account_id);
+  uint32_t sum = 0;
 
-  TT_LIST_FOREACH (&board->admit.accounts, it)
-    {
-      TtClientAccount *account = TT_CONTAINER_OF (it, TtClientAccount, link);
-      const TtMemberAccount *bucket = tt_gossip_accounts (board, account->spec.id);
-
-      account->fleet_in_flight = account->in_flight;
-      for (uint32_t i = 0; i < TT_GOSSIP_ACCOUNT_WAYS; i++)
-        if (bucket[i].account_id == account->spec.id && now_us - bucket[i].heard_us <= expiry_us)
-          account->fleet_in_flight += bucket[i].in_flight;
-    }
+  for (uint32_t i = 0; i < TT_GOSSIP_ACCOUNT_WAYS; i++)
+    if (bucket[i].account_id == account_id && now_us - bucket[i].heard_us <= expiry_us)
+      sum += bucket[i].in_flight;
+  return sum;
 }
 
 static void
@@ -106,6 +101,8 @@
     return;
   for (uint32_t i = 0; i < gossip->member_count && i < TT_PEER_MEMBERS; i++)
     tt_member_merge (board, &gossip->members[i], now_us);
+  for (uint32_t i = 0; i < gossip->beat_count && i < TT_PEER_BEATS; i++)
+    tt_member_beat (board, &gossip->beats[i], now_us);
   for (uint32_t i = 0; i < gossip->load_count && i < TT_PEER_LOADS; i++)
     take_load (board, &gossip->loads[i], message->sender_id, now_us);
   for (uint32_t i = 0; i < gossip->account_count && i < TT_PEER_ACCOUNTS; i++)
@@ -121,6 +118,4 @@
     }
   for (uint32_t i = 0; i < gossip->domain_count && i < TT_PEER_DOMAINS; i++)
     take_domain (board, &gossip->domains[i], now_us);
-  if (gossip->account_count > 0 && board->admit.accounts.count > 0)
-    sum_accounts (board, now_us);
 }
--- a/src/tarragontrack/control/member.c
+++ b/src/tarragontrack/control/member.c
@@ -192,6 +192,24 @@
     set_state (board, member, TT_MEMBER_LEAVING, now_us);
 }
 
+void
+tt_member_beat (TtBoard *board, const TtPeerBeat *beat, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->member.all, it)
+    {
+      TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
+      TtMemberEntry *entry = &member->entry;
+
+      if (member->self || (uint32_t) entry->id != beat->id || member->heard_us == 0
+          || (entry->incarnation & 127) != beat->incarnation || entry->heartbeat >= beat->heartbeat)
+        continue;
+      entry->heartbeat = beat->heartbeat;
+      member->heard_us = now_us;
+      if (entry->state == TT_MEMBER_SUSPECT || entry->state == TT_MEMBER_GONE)
+        set_state (board, member, TT_MEMBER_ALIVE, now_us);
+    }
+}
+
 /// Enters the daemons of a host list, so that the first messages have somewhere to go.
 static void
 take_hosts (TtBoard *board, const TtHostsObject *list, bool fleet)
--- a/src/tarragontrack/control/member.h
+++ b/src/tarragontrack/control/member.h
@@ -21,6 +21,9 @@
 /// Takes in what gossip says of a daemon; older statements than the known one are ignored.
 void tt_member_merge (TtBoard *board, const TtMemberEntry *entry, int64_t now_us);
 
+/// Takes in that a known daemon was alive.
+void tt_member_beat (TtBoard *board, const TtPeerBeat *beat, int64_t now_us);
+
 /// Estimated bytes of a message on the wire: 24 for the frame and the sender, and its fields.
 uint32_t tt_gossip_bytes (const TtPeerMessage *message);
 
@@ -36,5 +39,8 @@
 /// The TT_GOSSIP_ACCOUNT_WAYS records for counts of one client account.
 TtMemberAccount *tt_gossip_accounts (TtBoard *board, uint64_t account_id);
 
+/// Requests in flight of a client account at the other daemons, as far as gossip told of them.
+uint32_t tt_gossip_account_sum (TtBoard *board, uint64_t account_id, int64_t now_us);
+
 /// Takes in a gossip message.
 void tt_gossip_read (TtBoard *board, const TtPeerMessage *message, int64_t now_us);
