perf(share): one ASK for all models of a keeper

Cause: an ASK named the engines of one model; with 17 models a daemon sent 60 asks a second, most of its control traffic. Change: an ASK holds all that is due at a keeper; the asking part of share is share_ask.c.

--- a/src/tarragontrack/codec/peer_write.c
+++ b/src/tarragontrack/codec/peer_write.c
@@ -111,7 +111,7 @@
       (void) msgpack_pack_uint64 (packer, gossip->domains[i].epoch);
       (void) msgpack_pack_uint32 (packer, gossip->domains[i].members);
     }
-  (void) msgpack_pack_array (packer, 3 * gossip->beat_count);
+  (void) msgpack_pack_array (packer, (size_t) 3 * gossip->beat_count);
   for (uint32_t i = 0; i < gossip->beat_count; i++)
     {
       (void) msgpack_pack_uint32 (packer, gossip->beats[i].id);
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -2,15 +2,10 @@
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/control/keeper.h"
+#include "tarragontrack/control/member.h"
+#include "tarragontrack/control/share_ask.h"
 #include "tarragontrack/control/slot.h"
 
-/// A loan is renewed after RENEW_US; when the answer is lost, one retry still arrives before the
-/// loan of TT_LOAN_PERIOD_US ends.
-#define RENEW_US (1600 * TT_MILLISECOND_US)
-#define RETRY_US (200 * TT_MILLISECOND_US)
-/// An ASK for waiting requests renews the loans that are older than this with it. To renew all of
-/// them each time took half of the bytes of an ASK to the keeper of many engines.
-#define RENEW_WITH_US (800 * TT_MILLISECOND_US)
 /// While a request waits, an ASK without an answer is repeated sooner: the round trip inside a
 /// failure domain is below a millisecond, so that the message was lost.
 #define WANTED_RETRY_US (8 * TT_MILLISECOND_US)
@@ -104,96 +99,6 @@
     }
 }
 
-/// True if the daemon has to tell the keeper about this backend server.
-static bool
-has_interest (const TtBackendServer *backend)
-{
-  return backend->attempts.count > 0 || backend->place.waiting > 0 || backend->share.lent > 0;
-}
-
-static TtMember *
-find_member (TtBoard *board, uint64_t id)
-{
-  TT_LIST_FOREACH (&board->member.all, it)
-    {
-      TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
-
-      if (member->entry.id == id)
-        return member;
-    }
-  return NULL;
-}
-
-/// True if an ASK to its keeper has to name this backend server.
-static bool
-is_ask_due (const TtBackendServer *backend, int64_t now_us)
-{
-  const TtShareBackend *share = &backend->share;
-
-  if (!has_interest (backend))
-    return false;
-  return backend->place.waiting > 0 || share->ask_sequence != 0
-         || (share->lent < share->reported && backend->attempts.count < share->reported)
-         || now_us - share->asked_us >= RENEW_WITH_US;
-}
-
-/// Adds one backend server to an ASK.
-static void
-add_slot (TtBoard *board, TtPeerShare *message, TtBackendServer *backend, int64_t now_us)
-{
-  TtShareBackend *share = &backend->share;
-  int64_t elapsed_us = now_us - share->asked_us;
-
-  if (elapsed_us >= RETRY_US)
-    {
-      double uses = share->opened * (double) RENEW_US / (double) elapsed_us;
-
-      share->uses += 0.3 * (uses - share->uses);
-      share->opened = 0;
-    }
-  share->asked = tt_slot_wish (board, backend);
-  share->reported = backend->attempts.count;
-  share->asked_us = now_us;
-  share->ask_sequence = message->sequence;
-  if (share->unanswered_us == 0)
-    share->unanswered_us = now_us;
-  message->slots[message->slot_count++] = (TtPeerSlot){ .backend_id = backend->id,
-                                                        .used = backend->attempts.count,
-                                                        .slots = share->asked };
-}
-
-/// Sends one ASK, or several if one is full, for all slots of one pool at one keeper. The first
-/// slot carries the pool's id and this daemon's demand, from which the keeper computes the mean.
-static void
-ask_keeper (TtBoard *board, TtPool *pool, uint64_t keeper_id, int64_t now_us)
-{
-  const TtMember *keeper = find_member (board, keeper_id);
-  TtPeerMessage *message = NULL;
-
-  if (keeper == NULL)
-    return;
-  TT_LIST_FOREACH (&pool->backends, it)
-    {
-      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
-
-      if (backend->share.keeper_id != keeper_id || !is_ask_due (backend, now_us))
-        continue;
-      if (message == NULL || message->share.slot_count == TT_PEER_SLOTS)
-        {
-          message = tt_board_send (board, keeper, TT_PEER_SHARE_ASK);
-          if (message == NULL)
-            return;
-          message->share.sequence = ++board->share.sequence;
-          if (backend->domain_id == board->domain_id)
-            message->share.slots[message->share.slot_count++]
-                = (TtPeerSlot){ .backend_id = pool->id,
-                                .used = tt_slot_demand (pool),
-                                .slots = 1 + (uint32_t) pool->admit.offered };
-        }
-      add_slot (board, &message->share, backend, now_us);
-    }
-}
-
 /// Answers for one backend server. What is lent as asked for is left out of the answer.
 static void
 answer_slot (TtBoard *board, const TtPeerMessage *ask, const TtPeerSlot *slot, TtPeerShare *answer,
@@ -231,7 +136,7 @@
 static void
 answer_ask (TtBoard *board, const TtPeerMessage *ask, int64_t now_us)
 {
-  const TtMember *sender = find_member (board, ask->sender_id);
+  const TtMember *sender = tt_member_find (board, ask->sender_id);
   TtPeerMessage *answer;
 
   if (sender == NULL || !tt_keeper_is_new (board, ask))
@@ -364,12 +269,13 @@
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
       TtShareBackend *share = &backend->share;
       bool returns = share->lent < share->reported && backend->attempts.count < share->reported;
-      int64_t pause_us
-          = (share->ask_sequence != 0 && !share->orphan) || returns ? RETRY_US : RENEW_US;
+      int64_t pause_us = (share->ask_sequence != 0 && !share->orphan) || returns
+                             ? TT_SHARE_RETRY_US
+                             : TT_SHARE_RENEW_US;
 
       if (backend->pool != NULL && !tt_keeper_is_self (board, backend) && share->keeper_id != 0
-          && has_interest (backend) && now_us - share->asked_us >= pause_us)
-        ask_keeper (board, backend->pool, share->keeper_id, now_us);
+          && tt_share_has_interest (backend) && now_us - share->asked_us >= pause_us)
+        tt_share_ask (board, share->keeper_id, now_us);
     }
 }
 
@@ -455,7 +361,7 @@
                && board->share.asks >= 1.0 && tt_slot_can_ask (backend, now_us))
         {
           board->share.asks -= 1.0;
-          ask_keeper (board, backend->pool, backend->share.keeper_id, now_us);
+          tt_share_ask (board, backend->share.keeper_id, now_us);
         }
     }
 }
