--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -176,7 +176,7 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
       // The bound is one request higher. That request is the reserve for requests that end and
-      // lower the mean: without it half of a percent of the samples were above the bound.
+      // lower the mean: without it up to 0.5 % of the samples were above the bound.
       double room = ceil (pool->spec.load_multiple * pool->share.mean_load);
 
       // As soon as one request runs the bound is at least two.
