--- a/bench/route_bench.c
+++ b/bench/route_bench.c
@@ -1,6 +1,6 @@
 /// Routing of chats: prompt-cache reuse (M1), load bound (M5) and control traffic, against
 /// baselines and an oracle in the same run. Arguments: seed, deployment (0 to 2) and scenario (0 to
-/// 5); all of them if left out.
+/// 6); all of them if left out.
 #include "support/sim.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -39,6 +39,7 @@
   double surge;    ///< factor; 0 = none
   uint32_t spread; ///< overrides the deployment's prefix_spread; 0 = none
   bool large_only;
+  uint64_t cache_tokens; ///< overrides the deployment's; 0 = none
 } Scenario;
 
 // The large deployment is one of its 11 failure domains: routers of different failure domains share
@@ -57,7 +58,8 @@
         { "1 % churn a minute", false, true, 0, 0.01, 0, 0, 0, false },
         { "5 % of messages lost", false, true, 0, 0, 0.05, 0, 0, false },
         { "surge to 10 times by one account", false, false, 0, 0, 0, 10, 0, false },
-        { "steady, prefix_spread 4", false, true, 0, 0, 0, 0, 4, true } };
+        { "steady, prefix_spread 4", false, true, 0, 0, 0, 0, 4, true },
+        { "steady, caches hold half of the chats", false, true, 0, 0, 0, 0, 0, true, 600000 } };
 
 static uint64_t seed = 1;
 
@@ -91,6 +93,8 @@
   config.batch = deployment->batch;
   config.accounts = deployment->accounts;
   config.cache_tokens = deployment->cache_tokens;
+  if (scenario->cache_tokens != 0)
+    config.cache_tokens = scenario->cache_tokens;
   config.prefix_spread = scenario->spread != 0 ? scenario->spread : deployment->prefix_spread;
   config.warm_us = deployment->warm_s * TT_SECOND_US;
   config.duration_us = (scenario->churn > 0 ? deployment->churn_duration_s : deployment->duration_s)
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -10,7 +10,7 @@
 mkdir -p "$out"
 
 # One process for each deployment or scenario, a few at once; the tables are joined in order.
-printf '%s\n' '0' '1' '2 0' '2 1' '2 2' '2 3' '2 4' '2 5' |
+printf '%s\n' '0' '1' '2 0' '2 1' '2 2' '2 3' '2 4' '2 5' '2 6' |
   xargs -P "${JOBS:-4}" -I{} sh -c "$build/bench/route_bench $seed {} > '$work/route-{}'"
 {
   cat << HEAD
@@ -27,7 +27,7 @@
 HEAD
   cat "$work/route-0" "$work/route-1"
   printf '\n## Target, one failure domain of 11: 80 engines, 33 routers\n'
-  for scenario in 0 1 2 3 4 5; do cat "$work/route-2 $scenario"; done
+  for scenario in 0 1 2 3 4 5 6; do cat "$work/route-2 $scenario"; done
 } > "$out/routing.md"
 
 # The first table of each deployment holds all policies.
