fix(test): only messages sent with the new keys count in the test of key rotation

Ruled out: the socket accepting the old key; the failing assertion counts messages, not their origin. Change: each check sends a number of its own and waits for that number, which is stricter both ways.

--- a/test/io/peer_socket_test.c
+++ b/test/io/peer_socket_test.c
@@ -215,18 +215,20 @@
     }
 }
 
-/// Sends until a message arrives; false if none does in time.
+/// Sends messages with a number of their own until one arrives; false if none does in time.
+/// Messages that an earlier call sent may still arrive and do not count.
 static bool
 reaches (World *world)
 {
-  unsigned before = world->b.received;
+  static uint64_t number = 100;
 
-  for (unsigned i = 0; i < 40 && world->b.received == before; i++)
+  number++;
+  for (unsigned i = 0; i < 40 && world->b.last_epoch != number; i++)
     {
-      (void) send_to (world, 1);
-      run_until (world, &world->b, before + 1, 100);
+      (void) send_to (world, number);
+      run_until (world, &world->b, world->b.received + world->b.refused + 1, 100);
     }
-  return world->b.received > before;
+  return world->b.last_epoch == number;
 }
 
 /// Guards against a rotation of keys that needs a restart or cuts daemons off in between.
