fix(ctl): the report reads each sample on a connection of its own

Cause: with a read timeout of 1 s the daemon closes an idle connection between two samples; the report ended after the first one.

--- a/src/tarragonctl/ctl.c
+++ b/src/tarragonctl/ctl.c
@@ -130,6 +130,8 @@
                             .peer = session->daemon,
                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                             .total_timeout_ms = TOTAL_TIMEOUT_MS,
+                            // The daemon may have closed an idle connection between two samples.
+                            .fresh_connection = true,
                             .context = session,
                             .on_headers = on_headers,
                             .on_data = on_data,
