fix(counters): prompt tokens and cached tokens are counted

Cause: two counters that the report plots were never raised; the catalogue check now finds such. Change: usage.prompt_tokens is read beside cached_tokens; retry counts both when an answer is whole. Result: the check passes; sse test reads 50 and 42 from a stream cut at each byte.

--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -39,6 +39,7 @@
   uint32_t tokens;        ///< tokens that came with this event
   uint32_t status;        ///< DONE: HTTP status
   uint32_t cached_tokens; ///< DONE: prompt tokens the engine had cached
+  uint32_t prompt_tokens; ///< DONE: prompt tokens as the engine counts them; 0 = not told
   const char *body;       ///< DONE, plain services: the answer, valid during the step
   uint32_t body_size;
   bool sent; ///< FAILED: bytes of the request may have reached the peer
--- a/src/tarragontrack/codec/sse.c
+++ b/src/tarragontrack/codec/sse.c
@@ -21,23 +21,35 @@
   return NULL;
 }
 
-uint32_t
-tt_sse_cached_tokens (const char *data, size_t size)
+/// Number after a key with its colon; 0 if the key is absent.
+static uint32_t
+read_number (const char *data, size_t size, const char *key)
 {
-  static const char key[] = "\"cached_tokens\":";
   const char *at = find_text (data, size, key);
   const char *end = data + size;
   uint32_t value = 0;
 
   if (at == NULL)
     return 0;
-  for (at += sizeof key - 1; at < end && *at == ' '; at++)
+  for (at += strlen (key); at < end && *at == ' '; at++)
     ;
   for (; at < end && *at >= '0' && *at <= '9' && value < UINT32_MAX / 16; at++)
     value = value * 10 + (uint32_t) (*at - '0');
   return value;
 }
 
+uint32_t
+tt_sse_cached_tokens (const char *data, size_t size)
+{
+  return read_number (data, size, "\"cached_tokens\":");
+}
+
+uint32_t
+tt_sse_prompt_tokens (const char *data, size_t size)
+{
+  return read_number (data, size, "\"prompt_tokens\":");
+}
+
 /// Length of the event at the front, with its blank line; 0 if it is not whole.
 static size_t
 event_length (const char *data, size_t size)
@@ -78,7 +90,10 @@
       return false;
     }
   if (find_text (data, (size_t) (end - data), "\"usage\":") != NULL)
-    scan->cached_tokens += tt_sse_cached_tokens (data, (size_t) (end - data));
+    {
+      scan->cached_tokens += tt_sse_cached_tokens (data, (size_t) (end - data));
+      scan->prompt_tokens += tt_sse_prompt_tokens (data, (size_t) (end - data));
+    }
   // The last event of a stream may hold the usage and no choice.
   if (find_text (data, (size_t) (end - data), "\"choices\":[]") == NULL)
     scan->tokens++;
--- a/src/tarragontrack/codec/sse.h
+++ b/src/tarragontrack/codec/sse.h
@@ -15,6 +15,7 @@
 {
   uint32_t tokens; ///< data events with a choice
   uint32_t cached_tokens;
+  uint32_t prompt_tokens;
   bool done;  ///< `data: [DONE]` was read
   bool error; ///< an event holds an error of the engine
 } TtSseScan;
@@ -29,3 +30,6 @@
 
 /// Value of "cached_tokens" in the usage of a plain answer or an event; 0 if absent.
 uint32_t tt_sse_cached_tokens (const char *data, size_t size);
+
+/// Value of "prompt_tokens", as above.
+uint32_t tt_sse_prompt_tokens (const char *data, size_t size);
--- a/src/tarragontrack/control/retry.c
+++ b/src/tarragontrack/control/retry.c
@@ -80,6 +80,8 @@
   TtRequest *request = attempt->request;
 
   note_progress (board, attempt, event, now_us);
+  tt_board_count (board, TT_COUNT_PROMPT_TOKENS, event->prompt_tokens);
+  tt_board_count (board, TT_COUNT_CACHED_TOKENS, event->cached_tokens);
   tt_attempt_close (board, attempt);
   (void) tt_request_finish (board, request, TT_OUTCOME_COMPLETE, event->status, 0, NULL);
 }
--- a/src/tarragontrack/io/backend_answer.c
+++ b/src/tarragontrack/io/backend_answer.c
@@ -180,8 +180,12 @@
   event.attempt.attempt_id = id;
   event.attempt.status = attempt->status;
   event.attempt.cached_tokens = attempt->scan.cached_tokens;
+  event.attempt.prompt_tokens = attempt->scan.prompt_tokens;
   if (!attempt->events && attempt->engine)
-    event.attempt.cached_tokens = tt_sse_cached_tokens (attempt->buffer, attempt->size);
+    {
+      event.attempt.cached_tokens = tt_sse_cached_tokens (attempt->buffer, attempt->size);
+      event.attempt.prompt_tokens = tt_sse_prompt_tokens (attempt->buffer, attempt->size);
+    }
   if (!attempt->events && !attempt->overflow)
     {
       event.attempt.body = attempt->size > 0 ? attempt->buffer : "";
--- a/test/codec/sse_test.c
+++ b/test/codec/sse_test.c
@@ -2,12 +2,13 @@
 #include "tarragontrack/codec/sse.h"
 #include <string.h>
 
-static const char stream[]
-    = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
-      ": comment\n\n"
-      "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\r\n\r\n"
-      "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":42}}}\n\n"
-      "data: [DONE]\n\n";
+static const char stream[] = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+                             ": comment\n\n"
+                             "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\r\n\r\n"
+                             "data: "
+                             "{\"choices\":[],\"usage\":{\"prompt_tokens\":50,\"prompt_tokens_"
+                             "details\":{\"cached_tokens\":42}}}\n\n"
+                             "data: [DONE]\n\n";
 
 static void
 test_pieces (void)
@@ -26,6 +27,7 @@
       CU_ASSERT_EQUAL (used, relayable);
       CU_ASSERT_EQUAL (scan.tokens, 2);
       CU_ASSERT_EQUAL (scan.cached_tokens, 42);
+      CU_ASSERT_EQUAL (scan.prompt_tokens, 50);
       CU_ASSERT (scan.done);
       CU_ASSERT (!scan.error);
     }
--- a/tools/checks/catalogue.sh
+++ b/tools/checks/catalogue.sh
@@ -27,6 +27,9 @@
 sed -E 's/.* //' "$work/events.code" | while read -r name; do
   grep -rqE "TT_LOG_$name\b" src --include='*.c' || echo "event $name is never raised"
 done > "$work/unused"
+grep -oE 'X \([A-Z_]+,' src/tarragontrack/board/counter_defs.h | tr -d 'X (,' | while read -r name; do
+  grep -rqE "TT_COUNT_$name\b" src --include='*.c' || echo "counter $name is never raised"
+done >> "$work/unused"
 if [ -s "$work/unused" ]; then cat "$work/unused"; status=1; fi
 
 build/test/print_keys | sort > "$work/keys.code"
