--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -64,3 +64,9 @@
       awk -v workers="$workers" '/Collected/ {printf "| %d | %d |\n", workers, $4 / 2000}'
   done
 } > "$out/decision.md"
+
+# These write their own pages.
+"$build/bench/admission_bench" "$seed" > /dev/null
+"$build/bench/straggler_bench" "$seed" > /dev/null
+"$build/bench/control_bench" "$seed" > /dev/null
+"$build/bench/config_bench" "$out/configuration.md" "$seed" > /dev/null
