fix(share): a host that was never heard keeps no engine

Cause: members that only the platform's host list names count as alive, so a dead entry host on a stale list was elected keeper of engines, and nobody lent their slots beyond the fallback. TtShareBackend.orphan is without_keeper.

--- a/src/tarragontrack/board/share_defs.h
+++ b/src/tarragontrack/board/share_defs.h
@@ -51,10 +51,10 @@
   int64_t asked_us;
   int64_t unanswered_us; ///< first ASK since the keeper's last answer; 0 = answered
   int64_t denied_until_us;
-  uint32_t denials; ///< in a row; lengthens the next pause
-  bool orphan;      ///< no keeper answers; `lent` is this daemon's fallback part
-  double uses;      ///< attempts opened in a renewal period, exponentially weighted
-  uint32_t opened;  ///< attempts opened since the last renewal
+  uint32_t denials;    ///< in a row; lengthens the next pause
+  bool without_keeper; ///< no keeper answers; `lent` is this daemon's fallback part
+  double uses;         ///< attempts opened in a renewal period, exponentially weighted
+  uint32_t opened;     ///< attempts opened since the last renewal
   uint64_t keeper_id;
   // As keeper.
   TtList loans;
--- a/src/tarragontrack/control/keeper.c
+++ b/src/tarragontrack/control/keeper.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/hash.h"
+#include "tarragontrack/control/member.h"
 #include <math.h>
 #include <stdlib.h>
 
@@ -42,9 +43,21 @@
   return backend->share.keeper_id == board->member.self->entry.id;
 }
 
+/// True if a daemon may be a keeper. One that only a host list names counts until this daemon has
+/// run long enough to have heard it: else a dead host on the list would keep engines that nobody
+/// lends.
+static bool
+is_candidate (const TtBoard *board, const TtMember *member, int64_t now_us)
+{
+  if (member->entry.state != TT_MEMBER_ALIVE)
+    return false;
+  return member->self || member->heard_us != 0
+         || now_us - board->share.opened_us < TT_MEMBER_GONE_US;
+}
+
 /// Checksum of the live members; independent of their order.
 static uint64_t
-sum_members (const TtBoard *board)
+sum_members (const TtBoard *board, int64_t now_us)
 {
   uint64_t sum = 1;
 
@@ -52,7 +65,7 @@
     {
       const TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
 
-      if (member->entry.state == TT_MEMBER_ALIVE)
+      if (is_candidate (board, member, now_us))
         sum += tt_hash_pair (member->entry.id, member->entry.domain_id);
     }
   return sum;
@@ -60,7 +73,7 @@
 
 /// Live member of the backend server's failure domain that ranks first; 0 if none is known.
 static uint64_t
-elect_one (const TtBoard *board, const TtBackendServer *backend)
+elect_one (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
 {
   uint64_t best = 0;
   uint64_t best_hash = 0;
@@ -70,7 +83,7 @@
       const TtMember *member = TT_CONTAINER_OF (it, TtMember, link);
       uint64_t hash;
 
-      if (member->entry.state != TT_MEMBER_ALIVE || member->entry.domain_id != backend->domain_id)
+      if (member->entry.domain_id != backend->domain_id || !is_candidate (board, member, now_us))
         continue;
       hash = tt_hash_pair (member->entry.id, backend->id);
       if (hash > best_hash)
@@ -123,7 +136,7 @@
 void
 tt_keeper_elect (TtBoard *board, int64_t now_us)
 {
-  uint64_t members = sum_members (board);
+  uint64_t members = sum_members (board, now_us);
   bool changed = members != board->share.members;
 
   board->share.members = members;
@@ -134,7 +147,7 @@
 
       if (!changed && backend->share.keeper_id != 0)
         continue;
-      keeper_id = elect_one (board, backend);
+      keeper_id = elect_one (board, backend, now_us);
       if (keeper_id != 0 && keeper_id != backend->share.keeper_id)
         set_keeper (board, backend, keeper_id, now_us);
       else if (keeper_id == 0)
--- a/src/tarragontrack/control/place.c
+++ b/src/tarragontrack/control/place.c
@@ -70,7 +70,8 @@
 {
   if (tt_slot_idle (backend, decision->now_us) > 0)
     return true;
-  return backend->share.orphan && backend->id == decision->home_id && backend->attempts.count == 0;
+  return backend->share.without_keeper && backend->id == decision->home_id
+         && backend->attempts.count == 0;
 }
 
 /// Ends the wait for a keeper.
@@ -216,7 +217,7 @@
       double cost;
 
       // Without a keeper in the other failure domain this daemon runs one request on each engine.
-      idle |= backend->share.orphan && backend->domain_id != decision->board->domain_id
+      idle |= backend->share.without_keeper && backend->domain_id != decision->board->domain_id
               && backend->attempts.count == 0;
 
       if ((!idle && !tt_slot_can_ask (backend, decision->now_us)) || !accepts (decision, backend))
--- a/src/tarragontrack/control/roster.c
+++ b/src/tarragontrack/control/roster.c
@@ -138,7 +138,7 @@
 
   if (roster->state == TT_BACKEND_GONE)
     return;
-  // Gossip does not prolong a hold, or daemons would keep each other's alive for ever.
+  // Gossip does not prolong a hold, or daemons would keep each other's alive forever.
   if (by_list || roster->state != TT_BACKEND_LEAVING)
     roster->hold_until_us = now_us + LEAVING_HOLD_US;
   if (roster->state != TT_BACKEND_LEAVING)
--- a/src/tarragontrack/control/share.c
+++ b/src/tarragontrack/control/share.c
@@ -39,7 +39,7 @@
     return;
   backend->share.lent = granted;
   backend->share.lent_until_us = now_us + TT_LOAN_PERIOD_US;
-  backend->share.orphan = false;
+  backend->share.without_keeper = false;
 }
 
 /// Slots that the keeper of a usable backend server is likely to lend on request.
@@ -184,7 +184,7 @@
   if (period_us > TT_LOAN_PERIOD_US)
     period_us = TT_LOAN_PERIOD_US;
   share->unanswered_us = 0;
-  share->orphan = false;
+  share->without_keeper = false;
   share->lent = slot != NULL ? slot->slots : share->asked;
   share->lent_until_us = share->asked_us + period_us;
   if (share->lent >= share->asked)
@@ -222,10 +222,11 @@
   // Engines of another failure domain have daemons of their own, which use them without asking this
   // one: without a keeper's loan they stay unused from here.
   if (tt_keeper_is_self (board, backend) || backend->domain_id != board->domain_id)
-    share->orphan = false;
-  else if (share->orphan || (now_us >= share->lent_until_us && (silent || share->keeper_id == 0)))
+    share->without_keeper = false;
+  else if (share->without_keeper
+           || (now_us >= share->lent_until_us && (silent || share->keeper_id == 0)))
     {
-      share->orphan = true;
+      share->without_keeper = true;
       share->lent = tt_slot_fallback (board, backend, now_us);
       share->lent_until_us = now_us + 2 * TT_TICK_US;
     }
@@ -269,7 +270,7 @@
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
       TtShareBackend *share = &backend->share;
       bool returns = share->lent < share->reported && backend->attempts.count < share->reported;
-      int64_t pause_us = (share->ask_sequence != 0 && !share->orphan) || returns
+      int64_t pause_us = (share->ask_sequence != 0 && !share->without_keeper) || returns
                              ? TT_SHARE_RETRY_US
                              : TT_SHARE_RENEW_US;
 
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -38,7 +38,7 @@
     return false;
   if (backend->share.keeper_since_us != 0)
     return backend->share.free > 0;
-  return !backend->share.orphan && backend->share.keeper_id != 0
+  return !backend->share.without_keeper && backend->share.keeper_id != 0
          && now_us >= backend->share.denied_until_us;
 }
 
--- a/src/tarragontrack/io/peer_link.c
+++ b/src/tarragontrack/io/peer_link.c
@@ -141,7 +141,7 @@
   tt_peer_set_option (link->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   tt_peer_set_option (link->push, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   tt_peer_set_option (link->push, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
-  // A connection may become silent for ever while new ones work.
+  // A connection may become silent forever while new ones work.
   tt_peer_set_option (link->push, ZMQ_HEARTBEAT_IVL, TT_PEER_HEARTBEAT_MS);
   tt_peer_set_option (link->push, ZMQ_HEARTBEAT_TIMEOUT, TT_PEER_HEARTBEAT_MS);
   tt_peer_set_option (link->push, ZMQ_HEARTBEAT_TTL, 2 * TT_PEER_HEARTBEAT_MS);
--- a/test/control/admit_test.c
+++ b/test/control/admit_test.c
@@ -180,7 +180,7 @@
   // Its part: demand here 12, elsewhere 13, limit 8.
   CU_ASSERT (large->in_flight >= 2);
   CU_ASSERT (large->in_flight <= 4);
-  // An old count of a daemon that is gone does not hold the account back for ever.
+  // An old count of a daemon that is gone does not hold the account back forever.
   drive_tick (board, T0 + 40 * TT_SECOND_US);
   CU_ASSERT_EQUAL (tt_admit_room (large), 8);
   large->spec.max_in_flight = 0;
--- a/test/control/claim_test.c
+++ b/test/control/claim_test.c
@@ -172,7 +172,7 @@
   store_free (store);
 }
 
-/// Guards against a claim that blocks its key for ever although its attempt never ran.
+/// Guards against a claim that blocks its key forever although its attempt never ran.
 static void
 release_unsent_claim (void)
 {
--- a/test/control/config_test.c
+++ b/test/control/config_test.c
@@ -165,7 +165,7 @@
 }
 
 /// Guards against "refuse" documents that are accepted while routers of a cut-off failure domain
-/// still serve the team, and against a team that waits for that domain for ever.
+/// still serve the team, and against a team that waits for that domain forever.
 static void
 detached_refuse (void)
 {
--- a/test/control/path_test.c
+++ b/test/control/path_test.c
@@ -53,7 +53,7 @@
   tt_board_free (second);
 }
 
-/// Guards against a request for an unknown service that waits for ever.
+/// Guards against a request for an unknown service that waits forever.
 static void
 refuse_unknown_service (void)
 {
--- a/test/control/place_test.c
+++ b/test/control/place_test.c
@@ -279,7 +279,7 @@
   tt_board_free (board);
 }
 
-/// Guards against a request without a slot that waits for ever or is dropped early.
+/// Guards against a request without a slot that waits forever or is dropped early.
 static void
 wait_until_deadline (void)
 {
--- a/test/control/roster_test.c
+++ b/test/control/roster_test.c
@@ -102,7 +102,7 @@
   end_town (&town);
 }
 
-/// Guards against gossip about a leaving server that two daemons keep alive for ever, and against
+/// Guards against gossip about a leaving server that two daemons keep alive forever, and against
 /// one that is not believed.
 static void
 leaving_by_gossip (void)
--- a/test/control/share_test.c
+++ b/test/control/share_test.c
@@ -108,6 +108,26 @@
   share_world_close (&world);
 }
 
+/// Guards against a dead entry host that only a stale host list names and that keeps engines
+/// forever.
+static void
+skip_unheard_host (void)
+{
+  ShareWorld world;
+  TtMember *unheard;
+
+  share_world_open (&world, 2, ENGINES);
+  unheard = TT_CONTAINER_OF (tt_list_pop (&world.boards[0]->member.free), TtMember, link);
+  unheard->entry.id = 77;
+  unheard->entry.domain_id = world.boards[0]->domain_id;
+  unheard->listed = true;
+  tt_list_append (&world.boards[0]->member.all, &unheard->link);
+  share_world_run (&world, 16000);
+  for (uint32_t engine = 0; engine < ENGINES; engine++)
+    CU_ASSERT_NOT_EQUAL (share_world_engine (&world, 0, engine)->share.keeper_id, 77);
+  share_world_close (&world);
+}
+
 /// Guards against a borrower that stops when its keeper dies, and one that uses more than its part.
 static void
 fall_back_without_keeper (void)
@@ -122,9 +142,9 @@
   share = &share_world_engine (&world, 0, engine)->share;
   world.dead[1] = true;
   share_world_run (&world, 1000);
-  CU_ASSERT_FALSE (share->orphan);
+  CU_ASSERT_FALSE (share->without_keeper);
   share_world_run (&world, 2000);
-  CU_ASSERT_TRUE (share->orphan);
+  CU_ASSERT_TRUE (share->without_keeper);
   CU_ASSERT (share->lent >= 1);
   CU_ASSERT (share->lent <= share_world_engine (&world, 0, engine)->batch_limit / 2);
   share_world_close (&world);
@@ -317,6 +337,7 @@
 }
 
 static const UnitTest tests[] = {
+  { "a host that was never heard keeps no engine", skip_unheard_host },
   { "a single daemon serves at once", serve_alone },
   { "an idle engine is lent to others", lend_at_low_load },
   { "slots of a dead borrower are lent again", free_slots_of_dead_borrower },
--- a/test/io/http_client_test.c
+++ b/test/io/http_client_test.c
@@ -264,7 +264,7 @@
   ((World *) context)->requests++;
 }
 
-/// Guards against a call that waits for ever on a silent connection.
+/// Guards against a call that waits forever on a silent connection.
 static void
 silent_connection (void)
 {
