fix(io): connections to backend servers stayed open after their attempt

Cause: on the platform each attempt opens a connection of its own, and nothing closed it afterwards. The part of such requests that may run once ended as "unknown", because a request that was wholly written may have run. Ruled out, by a trial that printed libcurl's counts: requests that were written in part (6,431 of 6,527 lines had the whole request, the others nothing); too many requests at once (2 to 27 of a daemon on a backend server). The test test_own_connection fails without the option and passes with it.

--- a/src/tarragontrack/io/backend_client.c
+++ b/src/tarragontrack/io/backend_client.c
@@ -194,6 +194,7 @@
           // An idle connection may close while the request is on its way;
           // for work that runs once the outcome would be unknown.
           .fresh_connection = dialect->new_connections || (record != NULL && !record->idempotent),
+          .single_use = dialect->new_connections,
           .close_ends_answer = dialect->close_ends_answer,
           .context = attempt,
           .on_sent = tt_backend_on_sent,
--- a/src/tarragontrack/io/dialect_defs.h
+++ b/src/tarragontrack/io/dialect_defs.h
@@ -70,7 +70,7 @@
   bool breaks_cut_streams; ///< a stream that cannot be completed ends with its connection, not with
                            ///< an error event
   bool close_ends_answer;  ///< an answer without a length ends with its connection
-  bool new_connections;    ///< each attempt gets a connection of its own
+  bool new_connections;    ///< each attempt gets a connection of its own, closed after it
 
   /// Reads a request and makes the event for the board. RETURN 0 or a negative error number.
   int (*read_request) (void *context, const TtBoard *board, TtCallerCall *call, TtEvent *event,
--- a/src/tarragontrack/io/http_call.c
+++ b/src/tarragontrack/io/http_call.c
@@ -242,6 +242,7 @@
   (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   (void) curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) TT_HTTP_IDLE_LIMIT_S);
   (void) curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+  (void) curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, request->single_use ? 1L : 0L);
   (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) request->connect_timeout_ms);
   (void) curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) request->total_timeout_ms);
   if (request->probes_idle)
--- a/src/tarragontrack/io/http_client.h
+++ b/src/tarragontrack/io/http_client.h
@@ -26,6 +26,9 @@
   /// Opens a new connection. For calls that must not be repeated: a server that closes an idle
   /// connection while the request arrives leaves the effect unknown.
   bool fresh_connection;
+  /// Closes the connection after the answer. For servers that count idle connections against their
+  /// limit.
+  bool single_use;
   bool probes_idle;       ///< finds within seconds that the connection fell silent while it waits
   bool close_ends_answer; ///< an answer without a length ends with its connection
   void *context;
--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -27,6 +27,7 @@
   uv_tcp_t caller;
   uv_connect_t connect;
   uv_write_t write;
+  TtDialect *dialect;
   const char *request;
   unsigned port;
   unsigned dispatched;
@@ -125,6 +126,7 @@
   options.dialect = &dialect;
   backend.dialect = &dialect;
   memset (&world, 0, sizeof world);
+  world.dialect = &dialect;
   (void) uv_loop_init (&world.loop);
   (void) uv_timer_init (&world.loop, &world.guard);
   (void) uv_timer_init (&world.loop, &world.ticker);
@@ -293,6 +295,26 @@
   close_world ();
 }
 
+/// Guards against connections that stay open though no attempt uses them again: a backend server
+/// counts them against its limit and resets others.
+static void
+test_own_connection (void)
+{
+  open_world (answer_plain);
+  call_world (plain_call);
+  CU_ASSERT_EQUAL (uv_peer_open (world.engine), 1);
+  close_world ();
+  open_world (answer_plain);
+  world.dialect->new_connections = true;
+  call_world (plain_call);
+  CU_ASSERT (has ("x-outcome: complete"));
+  (void) uv_timer_start (&world.guard, stop_loop, 50, 0);
+  (void) uv_run (&world.loop, UV_RUN_DEFAULT);
+  CU_ASSERT_EQUAL (uv_peer_accepted (world.engine), 1);
+  CU_ASSERT_EQUAL (uv_peer_open (world.engine), 0);
+  close_world ();
+}
+
 static void
 close_early (void *context, UvPeerConnection *connection, unsigned number, const char *request)
 {
@@ -363,6 +385,7 @@
   { "a stream does not reach its caller whole", test_stream },
   { "a stream without [DONE] looks complete, or a partial event is relayed", test_cut_stream },
   { "a plain answer does not reach its caller", test_plain },
+  { "a connection stays open that is not used again", test_own_connection },
   { "a crash of the engine looks like an answer", test_crash },
   { "a caller gets the answer of another attempt", test_other_answer },
   { "a wrong or oversized request is dispatched", test_bad_requests },
--- a/test/support/uv_peer.c
+++ b/test/support/uv_peer.c
@@ -163,6 +163,12 @@
   return peer->accepted;
 }
 
+unsigned
+uv_peer_open (const UvPeer *peer)
+{
+  return peer->connections.count;
+}
+
 void
 uv_peer_free (UvPeer *peer)
 {
--- a/test/support/uv_peer.h
+++ b/test/support/uv_peer.h
@@ -21,6 +21,9 @@
 /// Connections accepted so far.
 unsigned uv_peer_accepted (const UvPeer *peer);
 
+/// Connections that are open now.
+unsigned uv_peer_open (const UvPeer *peer);
+
 /// Closes all connections and frees the server once the loop has closed its handles.
 void uv_peer_free (UvPeer *peer);
 
