feat(io): a settings file that changes without a signal is read

A wrong file is refused once per change, and the values in force stay. The budget of repeats starts anew when its window changes: its parts are numbered by time divided by their length, so a longer window would have left it used up for hours (window_changes fails without it). Ruled out: inotify, which misses files replaced by another one, and a poll in libuv's threads.

--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -19,7 +19,7 @@
   X (READY, 1004, INFO)                                                                            \
   X (SETTINGS_REFUSED, 1005, ERROR)                                                                \
   X (LISTEN_FAILED, 1006, ERROR)                                                                   \
-  X (KEYS_RELOADED, 1007, INFO)                                                                    \
+  X (SETTINGS_RELOADED, 1007, INFO)                                                                \
   X (LINES_LEFT_OUT, 1008, WARN)                                                                   \
   X (DOCUMENT_IN_FORCE, 2001, INFO)                                                                \
   X (DOCUMENT_REFUSED, 2002, ERROR)                                                                \
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -104,6 +104,7 @@
   const char *name;
   const TtJsonField *fields;
   size_t count;
+  bool reloadable; ///< a running daemon takes over its values
 } Table;
 
 static const Table tables[] = {
@@ -113,10 +114,10 @@
   { "metrics", metrics_fields, COUNT (metrics_fields) },
   { "peer", peer_fields, COUNT (peer_fields) },
   { "platform", platform_fields, COUNT (platform_fields) },
-  { "curve", curve_fields, COUNT (curve_fields) },
+  { "curve", curve_fields, COUNT (curve_fields), .reloadable = true },
   { "limits", limits_fields, COUNT (limits_fields) },
-  { "drain", drain_fields, COUNT (drain_fields) },
-  { "bounds", bounds_fields, COUNT (bounds_fields) },
+  { "drain", drain_fields, COUNT (drain_fields), .reloadable = true },
+  { "bounds", bounds_fields, COUNT (bounds_fields), .reloadable = true },
 };
 
 const TtJsonField *
@@ -129,6 +130,38 @@
   return tables[index].fields;
 }
 
+static void
+add_key (char *text, size_t size, const char *object, const char *key)
+{
+  size_t length = strlen (text);
+
+  (void) snprintf (text + length, size - length, "%s%s.%s", length > 0 ? "," : "", object, key);
+}
+
+void
+tt_settings_changes (const TtSettings *before, const TtSettings *after, bool reloadable, char *text,
+                     size_t size)
+{
+  text[0] = '\0';
+  for (size_t i = 0; i < COUNT (tables); i++)
+    for (size_t k = 0; k < tables[i].count && tables[i].reloadable == reloadable; k++)
+      {
+        const TtJsonField *field = &tables[i].fields[k];
+
+        if (memcmp ((const char *) before + field->offset, (const char *) after + field->offset,
+                    field->size)
+            != 0)
+          add_key (text, size, tables[i].name, field->key);
+      }
+  if (reloadable
+      && memcmp (before->curve.accepted_keys, after->curve.accepted_keys,
+                 sizeof before->curve.accepted_keys)
+             != 0)
+    add_key (text, size, "curve", "accepted_keys");
+  if (text[0] == '\0')
+    (void) snprintf (text, size, "none");
+}
+
 /// Sets TT_E_INVALID with the key and keeps the file's name.
 static int
 refuse (TtError *error, const char *key, const char *expected)
--- a/src/tarragontrack/codec/settings.h
+++ b/src/tarragontrack/codec/settings.h
@@ -19,6 +19,13 @@
 /// RETURN     as tt_settings_parse(), or TT_E_NOT_FOUND if the file cannot be read
 int tt_settings_load (const char *path, TtSettings *settings, TtError *error);
 
+/// tt_settings_changes - lists the keys whose values differ, separated by commas
+///
+/// ARGUMENTS  reloadable: the keys that a running daemon takes over, or those that need a restart;
+///            text: filled in, "none" without a difference, shortened if it does not fit
+void tt_settings_changes (const TtSettings *before, const TtSettings *after, bool reloadable,
+                          char *text, size_t size);
+
 /// Tables of the keys, for the reference page's check. @index counts from 0.
 ///
 /// RETURN     the table, with the key of its object and its length, or NULL after the last one
--- a/src/tarragontrack/control/budget.c
+++ b/src/tarragontrack/control/budget.c
@@ -12,7 +12,8 @@
   int64_t slot_us = config->repeat_window_ms * TT_MILLISECOND_US / TT_BUDGET_SLOTS;
   int64_t slot = slot_us > 0 ? now_us / slot_us : 0;
 
-  if (slot - budget->slot >= TT_BUDGET_SLOTS)
+  // After a change of the window the number may be a smaller one.
+  if (slot < budget->slot || slot - budget->slot >= TT_BUDGET_SLOTS)
     {
       memset (budget, 0, sizeof *budget);
       budget->slot = slot;
--- a/src/tarragontrack/io/router.c
+++ b/src/tarragontrack/io/router.c
@@ -13,6 +13,7 @@
 #include "tarragontrack/io/peer_socket.h"
 #include "tarragontrack/io/platform_client.h"
 #include "tarragontrack/io/pump.h"
+#include "tarragontrack/io/reload.h"
 #include "tarragontrack/io/router_options.h"
 #include "tarragontrack/platform/dialect.h"
 #include "tarragontrack/platform/store.h"
@@ -27,7 +28,7 @@
 struct TtRouter
 {
   const TtSettings *settings;
-  const char *path; ///< of the settings file
+  TtReload reload; ///< of the settings file
   uv_loop_t loop;
   TtBoard *board;
   TtPump pump;
@@ -193,6 +194,7 @@
     tt_backend_client_poll (router->backends, now_us);
   count_messages (router);
   apply_limits (router);
+  tt_reload_check (&router->reload, now_us);
   tt_log_flush ();
   if (router->board->drain.state >= TT_DRAIN_ANNOUNCED)
     tt_caller_server_leave (router->callers);
@@ -203,21 +205,15 @@
     uv_stop (&router->loop);
 }
 
-/// Reads the certificate and the keys for other daemons again; the old ones stay in use on failure.
+/// Takes over the certificate and the keys for other daemons.
 static int
-reload_keys (TtRouter *router, TtError *error)
+apply_settings (void *context, const TtSettings *settings, TtError *error)
 {
-  TtSettings *settings = malloc (sizeof *settings);
-  int code;
+  TtRouter *router = context;
+  int code = tt_caller_server_reload (router->callers, error);
 
-  if (settings == NULL)
-    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, router->path, "settings");
-  code = tt_settings_load (router->path, settings, error);
-  if (code == TT_OK)
-    code = tt_caller_server_reload (router->callers, error);
   if (code == TT_OK && settings->curve.enabled)
     code = tt_peer_socket_set_keys (router->peers, &settings->curve);
-  free (settings);
   return code;
 }
 
@@ -226,18 +222,11 @@
 {
   TtRouter *router = handle->data;
   TtEvent event = { .type = TT_EVENT_DRAIN };
-  TtError error = { 0 };
-  char text[TT_LOG_TEXT_MAX];
 
-  if (number != SIGHUP)
-    tt_pump_post (&router->pump, &event);
-  else if (reload_keys (router, &error) < 0)
-    {
-      tt_error_format (&error, text, sizeof text);
-      tt_log_write (TT_LOG_SETTINGS_REFUSED, text);
-    }
+  if (number == SIGHUP)
+    tt_reload_run (&router->reload, "signal");
   else
-    tt_log_write (TT_LOG_KEYS_RELOADED, router->settings->name);
+    tt_pump_post (&router->pump, &event);
 }
 
 /// Makes the board with all controllers.
@@ -365,11 +354,15 @@
       return NULL;
     }
   router->settings = settings;
-  router->path = path;
   (void) uv_loop_init (&router->loop);
   code = make_board (router, error);
   if (code == TT_OK)
-    code = open_servers (router, error);
+    {
+      tt_reload_init (&router->reload, path, settings, router->board);
+      router->reload.context = router;
+      router->reload.apply = apply_settings;
+      code = open_servers (router, error);
+    }
   if (code == TT_OK)
     code = open_clients (router, error);
   if (code < 0)
--- a/src/tarragontrackd/main.c
+++ b/src/tarragontrackd/main.c
@@ -25,8 +25,9 @@
       "  2  the daemon could not start, for example because a port is in use\n"
       "  3  wrong command line\n"
       "\n"
-      "SIGTERM and SIGINT drain the daemon; SIGHUP reads the certificate\n"
-      "and the keys for other daemons again.\n";
+      "SIGTERM and SIGINT drain the daemon; SIGHUP reads the settings,\n"
+      "the certificate and the keys for other daemons again, as does a change\n"
+      "of the settings file.\n";
 
 /// Prints an error on standard error.
 static void
--- a/test/codec/settings_test.c
+++ b/test/codec/settings_test.c
@@ -57,6 +57,33 @@
   CU_ASSERT_EQUAL (settings.repeat_window_ms, 10000);
 }
 
+/// Guards against a changed key that is not told, or is told as taken over though it needs a
+/// restart.
+static void
+changed_keys (void)
+{
+  static const char text[] = TOP CALLER OPERATOR PEER PLATFORM "}";
+  TtSettings before;
+  TtSettings after;
+  TtError error;
+  char keys[64];
+
+  UNIT_REQUIRE (tt_settings_parse (text, strlen (text), "d.json", &before, &error) == TT_OK);
+  after = before;
+  tt_settings_changes (&before, &after, true, keys, sizeof keys);
+  CU_ASSERT_STRING_EQUAL (keys, "none");
+  after.repeat_slack++;
+  after.drain_limit_ms++;
+  after.max_requests++;
+  tt_settings_changes (&before, &after, true, keys, sizeof keys);
+  CU_ASSERT_STRING_EQUAL (keys, "drain.limit_ms,bounds.repeat_slack");
+  tt_settings_changes (&before, &after, false, keys, sizeof keys);
+  CU_ASSERT_STRING_EQUAL (keys, "limits.max_requests");
+  after.curve.accepted_keys[1][0] = 'x';
+  tt_settings_changes (&before, &after, true, keys, 10);
+  CU_ASSERT_STRING_EQUAL (keys, "drain.lim");
+}
+
 /// Guards against errors that do not name the file, the line or key, and what was expected.
 static void
 wrong_settings (void)
@@ -133,9 +160,8 @@
 }
 
 static const UnitTest tests[] = {
-  { "good_settings", good_settings },
-  { "routed_settings", routed_settings },
-  { "wrong_settings", wrong_settings },
+  { "good_settings", good_settings },       { "routed_settings", routed_settings },
+  { "changed_keys", changed_keys },         { "wrong_settings", wrong_settings },
   { "files_and_tables", files_and_tables },
 };
 
--- a/test/control/budget_test.c
+++ b/test/control/budget_test.c
@@ -42,9 +42,26 @@
   CU_ASSERT_EQUAL (take_all (&budget, 5, now_us + 11 * TT_SECOND_US), first);
 }
 
+/// Guards against a budget that stays used up for hours after the window was made longer: its parts
+/// are numbered by the time divided by their length.
+static void
+window_changes (void)
+{
+  TtBudgetPool budget = { 0 };
+  TtBoardConfig longer = config;
+  int64_t now_us = 100 * TT_SECOND_US;
+  unsigned first = take_all (&budget, 5, now_us);
+
+  longer.repeat_window_ms = 20000;
+  (void) tt_budget_take (&budget, &longer, 5, now_us);
+  CU_ASSERT_TRUE (tt_budget_take (&budget, &longer, 5, now_us + 25 * TT_SECOND_US));
+  CU_ASSERT (first > 0);
+}
+
 static const UnitTest tests[] = {
   { "parts_stay_below", parts_stay_below },
   { "window_passes", window_passes },
+  { "window_changes", window_changes },
 };
 
 UNIT_MAIN ("budget", tests)
--- a/tools/process-test.sh
+++ b/tools/process-test.sh
@@ -160,6 +160,19 @@
   passed 'a daemon that was stopped for 10 s goes on'
 }
 
+# A settings file that changes while its daemon runs, once with an error in it.
+check_reload () {
+  sed 's/"announce_ms": [0-9]*/"announce_ms": /' "$folder/d3.json" > "$folder/d3.new"
+  cp "$folder/d3.json" "$folder/d3.good"
+  cp "$folder/d3.new" "$folder/d3.json"
+  wait_for 'a wrong settings file is refused' grep -q ' 1005 ' "$folder/d3.log"
+  sed 's/"announce_ms": [0-9]*/"announce_ms": 900/' "$folder/d3.good" > "$folder/d3.json"
+  wait_for 'a changed settings file is taken over' \
+    grep -q ' 1007 .*cause=file taken_over=drain.announce_ms needs_restart=none' "$folder/d3.log"
+  wait_ready $((base + 30))
+  passed 'a settings file that changes without a signal is taken over'
+}
+
 check_drain () {
   for n in 1 2 3 4; do start "drain_$n" post_chat "$d1" true 200 "drain $n"; done
   for n in 1 2 3 4; do
@@ -200,5 +213,6 @@
 check_slow_input
 check_kill
 check_pause
+check_reload
 check_drain
 echo 'process-test: passed'
