perf(feed): changes of backend servers are gathered for longer

Cause: calls to the store are the largest price on the grown sites. The configuration is read at once, as before. Test: changes_are_gathered. The number of keys in settings_test grows by the new one.

--- a/src/tarragontrack/board/board.c
+++ b/src/tarragontrack/board/board.c
@@ -48,6 +48,7 @@
   board->config.repeat_slack = config->repeat_slack;
   board->config.repeat_window_ms = config->repeat_window_ms;
   board->config.settle_ms = config->settle_ms;
+  board->config.leaving_ms = config->leaving_ms;
 }
 
 /// Frees the message that a PEER action holds.
--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -61,6 +61,7 @@
   uint32_t repeat_slack;     ///< repeated sends beyond that in one window
   uint32_t repeat_window_ms; ///< over which repeated sends are counted
   uint32_t settle_ms;        ///< after the end of a disruption, until all bounds hold again
+  uint32_t leaving_ms;       ///< for which a backend server serves after it says that it leaves
 } TtBoardConfig;
 
 typedef struct
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -70,6 +70,8 @@
     .maximum = MAX_TIMEOUT_MS, .fallback = 10000, .unit = "ms" },
   { "settle_ms", TT_JSON_UINT32, FIELD (settle_ms), .minimum = 200, .maximum = MAX_TIMEOUT_MS,
     .fallback = 3000, .unit = "ms" },
+  { "leaving_ms", TT_JSON_UINT32, FIELD (leaving_ms), .minimum = 100, .maximum = MAX_TIMEOUT_MS,
+    .fallback = 2000, .unit = "ms" },
 };
 
 static const TtJsonField curve_fields[] = {
--- a/src/tarragontrack/codec/settings_defs.h
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -55,7 +55,8 @@
   double repeat_ratio;   ///< repeated sends of the whole fleet for each request
   uint32_t repeat_slack; ///< repeated sends beyond that in one window
   uint32_t repeat_window_ms;
-  uint32_t settle_ms; ///< after the end of a disruption, until all bounds hold again
+  uint32_t settle_ms;  ///< after the end of a disruption, until all bounds hold again
+  uint32_t leaving_ms; ///< for which a backend server serves after its entry says that it leaves
   TtCurveKeys curve;
   uint32_t max_requests;
   uint32_t max_attempts;
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -12,12 +12,13 @@
 /// A call without an event for this long has been lost; the client's own time limits are shorter.
 #define CALL_LIMIT_US (30 * TT_SECOND_US)
 
-/// Pause after changes of a kind before it is followed again. Entries change in groups, at a start
-/// above all, and each call has its price; none is needed for the configuration, whose changes have
-/// to be in force soonest.
-static const int64_t gather_us[] = { [TT_STORE_CONFIG] = 0,
-                                     [TT_STORE_SERVERS] = 300 * TT_MILLISECOND_US,
-                                     [TT_STORE_DAEMONS] = TT_SECOND_US };
+/// Part of the time for which a leaving backend server serves, in which changes of entries are
+/// gathered. The rest is for a slow answer of the store, or for a failed call and the next one.
+#define GATHER_PART 3
+
+/// Pause after changes of daemons' entries before they are followed again. Those that start
+/// together write theirs within about this time.
+#define GATHER_DAEMONS_US TT_SECOND_US
 
 /// Pause before this daemon's entry is written again after a failure.
 #define OWN_RETRY_US TT_SECOND_US
@@ -103,14 +104,26 @@
       = now_us + pause_us / 2 + (int64_t) tt_rng_below (&board->rng, (uint64_t) pause_us / 2 + 1);
 }
 
-static void
-note_answer (TtFeedStream *stream, const TtStoreEntries *entries, int64_t now_us)
+/// Pause after changes of a kind before it is followed again. Entries change in groups, and each
+/// call has its price; none is made for the configuration, whose changes have to be in force
+/// soonest.
+static int64_t
+gather_us (const TtBoard *board, TtStoreKind kind)
 {
-  int64_t pause_us = entries->count > 0 && !entries->more ? gather_us[entries->kind] : 0;
+  if (kind == TT_STORE_SERVERS)
+    return board->config.leaving_ms * TT_MILLISECOND_US / GATHER_PART;
+  return kind == TT_STORE_DAEMONS ? GATHER_DAEMONS_US : 0;
+}
 
+static void
+note_answer (const TtBoard *board, TtFeedStream *stream, const TtStoreEntries *entries,
+             int64_t now_us)
+{
   stream->call = 0;
   stream->failures = 0;
-  stream->next_us = now_us + pause_us;
+  stream->next_us = now_us;
+  if (entries->count > 0 && !entries->more)
+    stream->next_us += gather_us (board, entries->kind);
   stream->lost_us = 0;
   if (entries->whole && entries->more)
     {
@@ -154,7 +167,7 @@
         {
           event->platform.entries->first
               = event->platform.entries->whole && stream->after[0] == '\0';
-          note_answer (stream, event->platform.entries, now_us);
+          note_answer (board, stream, event->platform.entries, now_us);
         }
       else
         note_failure (board, stream, event->platform.code, now_us);
--- a/src/tarragontrack/io/reload.c
+++ b/src/tarragontrack/io/reload.c
@@ -75,6 +75,7 @@
   reload->current.repeat_slack = fresh->repeat_slack;
   reload->current.repeat_window_ms = fresh->repeat_window_ms;
   reload->current.settle_ms = fresh->settle_ms;
+  reload->current.leaving_ms = fresh->leaving_ms;
 }
 
 void
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -43,6 +43,7 @@
   config->repeat_slack = settings->repeat_slack;
   config->repeat_window_ms = settings->repeat_window_ms;
   config->settle_ms = settings->settle_ms;
+  config->leaving_ms = settings->leaving_ms;
 }
 
 void
--- a/test/codec/settings_test.c
+++ b/test/codec/settings_test.c
@@ -156,7 +156,7 @@
       tables++;
       keys += count;
     }
-  CU_ASSERT (tables == 10 && keys == 41);
+  CU_ASSERT (tables == 10 && keys == 42);
 }
 
 static const UnitTest tests[] = {
--- a/test/control/feed_test.c
+++ b/test/control/feed_test.c
@@ -78,6 +78,50 @@
   routed_close (&routed);
 }
 
+/// Answers the open call of a kind with one change. RETURN ms until the next call, in steps of 50.
+static unsigned
+pause_after_change (TtStoreKind kind)
+{
+  TtStoreEntry change = { .kind = kind, .name = "x" };
+  TtStoreEntries changes = { .kind = kind, .entries = &change, .count = 1, .revision = 11 };
+  TtStoreEntries list = { .kind = kind, .entries = &change, .whole = true, .revision = 10 };
+  TtPlatformAction call;
+  unsigned pause_ms = 0;
+
+  routed_open (&routed);
+  routed_wait (&routed, 50);
+  call = take_call (kind);
+  answer (&call, TT_OK, &list);
+  call = take_call (kind);
+  CU_ASSERT_EQUAL (call.op, TT_PLATFORM_FOLLOW);
+  answer (&call, TT_OK, &changes);
+  for (; pause_ms < 5000; pause_ms += 50)
+    {
+      TtAction action = { 0 };
+
+      while (routed_take (&routed, TT_ACTION_PLATFORM, &action))
+        if (action.platform.kind == kind)
+          {
+            routed_close (&routed);
+            return pause_ms;
+          }
+      routed_wait (&routed, 50);
+    }
+  routed_close (&routed);
+  return pause_ms;
+}
+
+/// Guards against a priced call for each of many changes, and against pauses in which a leaving
+/// backend server stops or a configuration comes too late.
+static void
+changes_are_gathered (void)
+{
+  unsigned pause_ms = pause_after_change (TT_STORE_SERVERS);
+
+  CU_ASSERT (pause_ms >= 500 && pause_ms <= 1000); // of the 2 s that it still serves
+  CU_ASSERT (pause_after_change (TT_STORE_CONFIG) <= 50);
+}
+
 /// Guards against calls without pause to a store that refuses, and against pauses so long that a
 /// change comes too late after its return.
 static void
@@ -139,6 +183,7 @@
 static const UnitTest tests[] = {
   { "pages_then_changes", pages_then_changes },
   { "forgotten_history", forgotten_history },
+  { "changes_are_gathered", changes_are_gathered },
   { "refusing_store", refusing_store },
   { "own_entry", own_entry },
 };
--- a/test/support/routed.c
+++ b/test/support/routed.c
@@ -31,7 +31,8 @@
                            .repeat_ratio = 0.2,
                            .repeat_slack = 50,
                            .repeat_window_ms = 10000,
-                           .settle_ms = 3000 };
+                           .settle_ms = 3000,
+                           .leaving_ms = 2000 };
 
   routed->board = tt_board_new (&config);
   UNIT_REQUIRE (routed->board != NULL);
