test(soak): planned work, memory and descriptors

Cause: the soak did not see a leaving entry that is ignored, because DRAIN wants 7.5 s of calm, which random trouble seldom leaves; nothing showed whether memory and descriptors stay flat.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 FIRST ?= 1
 soak: build
 	sh tools/soak.sh $(BUILD) $(FIRST) $(SEEDS)
+	sh tools/soak.sh $(BUILD) $(FIRST) 4 30 --planned
 
 format:
 	git ls-files '*.c' '*.h' | xargs clang-format -i
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -1,4 +1,5 @@
 /// Fault soak: soak --program PATH --seed N [--seconds N]. Exit code 1 if a promise was broken.
+#include "age.h"
 #include "caller.h"
 #include "proxy.h"
 #include "store.h"
@@ -20,6 +21,8 @@
 #define CALM_US (7 * US_PER_S) ///< after the last trouble, to the end
 #define PACE_MS 10             ///< between two requests
 #define CLOCK_MS 5             ///< of the store and the backend servers
+#define PROBE_TICKS 100        ///< between two requests that test the configuration
+#define AGE_TICKS 200          ///< between two samples of memory and descriptors
 #define LATE_SHARE 0.95        ///< served of the requests sent after all trouble has settled
 #define LOG_MAX 480
 #define PORT_FIRST 10000
@@ -159,8 +162,10 @@
 
   soak_worker_tick (&soak);
   soak_store_tick (&soak.store);
-  if (++turns % 100 == 0 && soak_now_us () < soak.end_us)
+  if (++turns % PROBE_TICKS == 0 && soak_now_us () < soak.end_us)
     soak_caller_probe (&soak);
+  if (soak.planned && turns % AGE_TICKS == 0)
+    soak_age_sample (&soak);
   if (soak_now_us () > soak.end_us
       && (soak.open_calls == 0 || soak_now_us () > soak.end_us + CALM_US))
     uv_stop (timer->loop);
@@ -171,31 +176,13 @@
 {
   if (soak_now_us () >= soak.faults_end_us)
     return;
-  soak_trouble (&soak);
+  if (soak.planned)
+    soak_plan (&soak);
+  else
+    soak_trouble (&soak);
   (void) uv_timer_start (timer, on_trouble, 100 + tt_rng_below (&soak.rng, 1000), 0);
 }
 
-static bool
-write_settings (SoakDaemon *daemon)
-{
-  FILE *file = fopen (daemon->settings, "we");
-
-  if (file == NULL)
-    return false;
-  (void) fprintf (
-      file,
-      "{ \"fleet\": \"soak\", \"name\": \"d%u\", \"domain\": \"z\", \"region\": \"r\",\n"
-      "  \"caller\": { \"address\": \"127.0.0.1:%u\" },\n"
-      "  \"operator\": { \"address\": \"127.0.0.1:%u\" },\n"
-      "  \"peer\": { \"address\": \"127.0.0.1\", \"port\": %u },\n"
-      "  \"platform\": { \"url\": \"http://127.0.0.1:%u\", \"configuration\": \"routes\" },\n"
-      "  \"limits\": { \"max_requests\": 1024, \"max_attempts\": 2048 },\n"
-      "  \"drain\": { \"announce_ms\": 2500, \"limit_ms\": 7000 } }\n",
-      daemon->index, daemon->caller_port, daemon->ready_port, daemon->peer_port,
-      proxy_port (daemon->store_proxy));
-  return fclose (file) == 0;
-}
-
 static bool
 open_daemon (unsigned index)
 {
@@ -209,7 +196,7 @@
   daemon->store_proxy = proxy_new (soak.loop, soak.store.port);
   (void) snprintf (daemon->settings, sizeof daemon->settings, "%s/d%u.json", soak.folder, index);
   (void) snprintf (daemon->log, sizeof daemon->log, "%s/d%u.log", soak.folder, index);
-  return daemon->store_proxy != NULL && write_settings (daemon) && soak_daemon_start (daemon);
+  return daemon->store_proxy != NULL && soak_daemon_settings (daemon) && soak_daemon_start (daemon);
 }
 
 static bool
@@ -267,10 +254,13 @@
   gint seconds = 20;
   gchar *program = NULL;
   gboolean loud = FALSE;
+  gboolean planned = FALSE;
   const GOptionEntry entries[]
       = { { "program", 'p', 0, G_OPTION_ARG_FILENAME, &program, "Path of tarragontrackd", "PATH" },
           { "seed", 's', 0, G_OPTION_ARG_INT64, &seed, "Seed of the troubles", "N" },
           { "seconds", 't', 0, G_OPTION_ARG_INT, &seconds, "Length of the run", "N" },
+          { "planned", 0, 0, G_OPTION_ARG_NONE, &planned,
+            "Planned work instead of trouble; checks memory and descriptors, too", NULL },
           { "verbose", 'v', 0, G_OPTION_ARG_NONE, &loud, "Print each trouble", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
   GOptionContext *context = g_option_context_new ("- fault soak");
@@ -283,6 +273,7 @@
     }
   g_option_context_free (context);
   verbose = loud;
+  soak.planned = planned;
   soak.program = program;
   soak.seed = (uint64_t) seed;
   (void) snprintf (soak.folder, sizeof soak.folder, "%s/soak-XXXXXX", g_get_tmp_dir ());
@@ -302,6 +293,8 @@
   if (soak.late_served < soak.late_sent * LATE_SHARE)
     soak_violation (&soak, "RECOVER", "%u of %u served after the trouble", soak.late_served,
                     soak.late_sent);
+  if (soak.planned)
+    soak_age_check (&soak);
   (void) printf ("seed %llu: sent %u, served %u, refused %u, failed %u, broken promises %u\n",
                  (unsigned long long) soak.seed, soak.sent, soak.served, soak.refused, soak.failed,
                  soak.violations);
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -44,6 +44,14 @@
   bool refused; ///< its caller was told that it has not run and never will
 } SoakRequest;
 
+/// Sums of samples of a process.
+typedef struct
+{
+  uint64_t samples;
+  uint64_t resident_kb;
+  uint64_t descriptors;
+} SoakAge;
+
 /// A process of the fleet.
 typedef struct
 {
@@ -61,6 +69,8 @@
   Proxy *store_proxy;
   char settings[128];
   char log[128];
+  SoakAge early; ///< in the second fifth of the run
+  SoakAge late;  ///< in its last fifth
 } SoakDaemon;
 
 typedef struct
@@ -111,6 +121,7 @@
   int64_t start_us;
   int64_t faults_end_us; ///< no new trouble after this time
   int64_t end_us;
+  bool planned;        ///< planned work instead of trouble
   const char *program; ///< path of the daemon
   char folder[64];
   SoakDaemon daemons[SOAK_DAEMONS];
--- a/test/soak/trouble.c
+++ b/test/soak/trouble.c
@@ -17,6 +17,7 @@
   uv_timer_t timer;
   Soak *soak;
   unsigned target;
+  bool planned; ///< no trouble: bounds hold meanwhile
   void (*end) (Soak *soak, unsigned target);
 } Trouble;
 
@@ -39,16 +40,18 @@
 {
   Trouble *trouble = timer->data;
 
-  lasting--;
-  trouble->soak->store.troubled_us = soak_now_us ();
+  if (!trouble->planned)
+    {
+      lasting--;
+      trouble->soak->store.troubled_us = soak_now_us ();
+    }
   trouble->end (trouble->soak, trouble->target);
   uv_close ((uv_handle_t *) timer, on_timer_closed);
 }
 
-/// Ends a trouble after a random time.
-static void
-end_after (Soak *soak, unsigned target, unsigned least_ms, unsigned most_ms,
-           void (*end) (Soak *soak, unsigned target))
+static Trouble *
+start_timer (Soak *soak, unsigned target, unsigned least_ms, unsigned most_ms,
+             void (*end) (Soak *soak, unsigned target))
 {
   Trouble *trouble = calloc (1, sizeof *trouble);
   uint64_t after_ms = least_ms + tt_rng_below (&soak->rng, most_ms - least_ms + 1);
@@ -59,6 +62,15 @@
   (void) uv_timer_init (soak->loop, &trouble->timer);
   trouble->timer.data = trouble;
   (void) uv_timer_start (&trouble->timer, on_end, after_ms, 0);
+  return trouble;
+}
+
+/// Ends a trouble after a random time.
+static void
+end_after (Soak *soak, unsigned target, unsigned least_ms, unsigned most_ms,
+           void (*end) (Soak *soak, unsigned target))
+{
+  (void) start_timer (soak, target, least_ms, most_ms, end);
   lasting++;
 }
 
@@ -86,6 +98,28 @@
     end_after (daemon->soak, daemon->index, 100, 1200, start_again);
 }
 
+bool
+soak_daemon_settings (SoakDaemon *daemon)
+{
+  FILE *file = fopen (daemon->settings, "we");
+
+  if (file == NULL)
+    return false;
+  (void) fprintf (
+      file,
+      "{ \"fleet\": \"soak\", \"name\": \"d%u\", \"domain\": \"z\", \"region\": \"r\",\n"
+      "  \"caller\": { \"address\": \"127.0.0.1:%u\" },\n"
+      "  \"operator\": { \"address\": \"127.0.0.1:%u\" },\n"
+      "  \"peer\": { \"address\": \"127.0.0.1\", \"port\": %u },\n"
+      "  \"platform\": { \"url\": \"http://127.0.0.1:%u\", \"configuration\": \"routes\" },\n"
+      "  \"limits\": { \"max_requests\": 1024, \"max_attempts\": 2048 },\n"
+      "  \"bounds\": { \"repeat_slack\": %u },\n"
+      "  \"drain\": { \"announce_ms\": 2500, \"limit_ms\": 7000 } }\n",
+      daemon->index, daemon->caller_port, daemon->ready_port, daemon->peer_port,
+      proxy_port (daemon->store_proxy), 20 + (unsigned) tt_rng_below (&daemon->soak->rng, 20));
+  return fclose (file) == 0;
+}
+
 bool
 soak_daemon_start (SoakDaemon *daemon)
 {
@@ -329,3 +363,40 @@
     for (unsigned i = 0; i < SOAK_DAEMONS; i++)
       signal_daemon (soak, i, SIGKILL);
 }
+
+static void
+replace_worker (Soak *soak, unsigned target)
+{
+  soak_worker_crash (&soak->workers[target], true);
+  start_timer (soak, target, 100, 1000, start_worker)->planned = true;
+}
+
+/// True if another backend server of the same service is away: planned work takes one at a time.
+static bool
+is_other_away (const Soak *soak, unsigned target)
+{
+  for (unsigned i = 0; i < SOAK_WORKERS; i++)
+    if (i != target && (i < SOAK_ENGINES) == (target < SOAK_ENGINES)
+        && (soak->workers[i].server == NULL || soak->workers[i].leaving))
+      return true;
+  return false;
+}
+
+void
+soak_plan (Soak *soak)
+{
+  uint64_t kind = tt_rng_below (&soak->rng, 4);
+  unsigned target = (unsigned) tt_rng_below (&soak->rng, SOAK_WORKERS);
+  SoakWorker *worker = &soak->workers[target];
+
+  if (kind == 0)
+    soak_configure (soak);
+  else if (kind == 1)
+    (void) soak_daemon_settings (&soak->daemons[tt_rng_below (&soak->rng, SOAK_DAEMONS)]);
+  else if (worker->server != NULL && !worker->leaving && !is_other_away (soak, target))
+    {
+      soak_note (soak, "worker %u leaves", target);
+      soak_worker_leave (worker);
+      start_timer (soak, target, 3000, 4500, replace_worker)->planned = true;
+    }
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -26,6 +26,7 @@
 sh tools/process-test.sh build
 step soak
 sh tools/soak.sh build 1 4
+sh tools/soak.sh build 1 2 20 --planned
 step 'tests with sanitizers'
 cmake -S . -B build-check -DTT_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug > /dev/null
 cmake --build build-check -j "$jobs" > build-check/build.log 2>&1 || {
