refactor(board): bounds that may change while running are one type

The settings, the board and the reload of settings each listed the same eight fields and copied them one by one. TtBounds holds them; a reload copies it whole.

--- a/src/tarragontrack/board/board.c
+++ b/src/tarragontrack/board/board.c
@@ -38,19 +38,6 @@
   return board;
 }
 
-void
-tt_board_set_bounds (TtBoard *board, const TtBoardConfig *config)
-{
-  board->config.drain_announce_ms = config->drain_announce_ms;
-  board->config.drain_limit_ms = config->drain_limit_ms;
-  board->config.load_factor = config->load_factor;
-  board->config.repeat_ratio = config->repeat_ratio;
-  board->config.repeat_slack = config->repeat_slack;
-  board->config.repeat_window_ms = config->repeat_window_ms;
-  board->config.settle_ms = config->settle_ms;
-  board->config.leaving_ms = config->leaving_ms;
-}
-
 /// Frees the message that a PEER action holds.
 static void
 free_message (TtAction *action)
--- a/src/tarragontrack/board/board.h
+++ b/src/tarragontrack/board/board.h
@@ -10,11 +10,6 @@
 /// OWNERSHIP  free with tt_board_free()
 TtBoard *tt_board_new (const TtBoardConfig *config);
 
-/// tt_board_set_bounds - takes over the times of the drain and the bounds of a routed deployment
-///
-/// The other values of @config need a new board.
-void tt_board_set_bounds (TtBoard *board, const TtBoardConfig *config);
-
 /// Closes all controllers and frees the board. @board may be NULL.
 void tt_board_free (TtBoard *board);
 
--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -4,6 +4,7 @@
 #include "tarragontrack/board/acceptor_defs.h"
 #include "tarragontrack/board/action_defs.h"
 #include "tarragontrack/board/backend_defs.h"
+#include "tarragontrack/board/bounds_defs.h"
 #include "tarragontrack/board/claim_section_defs.h"
 #include "tarragontrack/board/counter_defs.h"
 #include "tarragontrack/board/drain_defs.h"
@@ -52,16 +53,8 @@
   uint32_t max_requests; ///< requests on the board at once; more are answered "not run"
   uint32_t max_attempts;
   uint32_t max_accounts;
-  uint32_t drain_announce_ms; ///< time between readiness false and refusal
-  uint32_t drain_limit_ms;    ///< 0 = wait for the last request without limit
-  // Bounds of a deployment whose configuration is a routing table.
-  bool by_routes;            ///< requests are placed by a routing table, not by documents
-  double load_factor;        ///< bound on a backend server's load, as a multiple of the mean
-  double repeat_ratio;       ///< repeated sends of the whole fleet for each request
-  uint32_t repeat_slack;     ///< repeated sends beyond that in one window
-  uint32_t repeat_window_ms; ///< over which repeated sends are counted
-  uint32_t settle_ms;        ///< after the end of a disruption, until all bounds hold again
-  uint32_t leaving_ms;       ///< for which a backend server serves after it says that it leaves
+  bool by_routes; ///< requests are placed by a routing table, not by documents
+  TtBounds bounds;
 } TtBoardConfig;
 
 typedef struct
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -60,18 +60,18 @@
 };
 
 static const TtJsonField bounds_fields[] = {
-  { "load_factor", TT_JSON_DOUBLE, FIELD (load_factor), .minimum = 1, .maximum = 100, .fallback = 2,
-    .unit = "times the mean" },
-  { "repeat_ratio", TT_JSON_DOUBLE, FIELD (repeat_ratio), .maximum = 100, .fallback = 0.1,
+  { "load_factor", TT_JSON_DOUBLE, FIELD (bounds.load_factor), .minimum = 1, .maximum = 100,
+    .fallback = 2, .unit = "times the mean" },
+  { "repeat_ratio", TT_JSON_DOUBLE, FIELD (bounds.repeat_ratio), .maximum = 100, .fallback = 0.1,
     .unit = "sends a request" },
-  { "repeat_slack", TT_JSON_UINT32, FIELD (repeat_slack), .maximum = MAX_COUNT, .fallback = 20,
-    .unit = "sends" },
-  { "repeat_window_ms", TT_JSON_UINT32, FIELD (repeat_window_ms), .minimum = 100,
+  { "repeat_slack", TT_JSON_UINT32, FIELD (bounds.repeat_slack), .maximum = MAX_COUNT,
+    .fallback = 20, .unit = "sends" },
+  { "repeat_window_ms", TT_JSON_UINT32, FIELD (bounds.repeat_window_ms), .minimum = 100,
     .maximum = MAX_TIMEOUT_MS, .fallback = 10000, .unit = "ms" },
-  { "settle_ms", TT_JSON_UINT32, FIELD (settle_ms), .minimum = 200, .maximum = MAX_TIMEOUT_MS,
-    .fallback = 3000, .unit = "ms" },
-  { "leaving_ms", TT_JSON_UINT32, FIELD (leaving_ms), .minimum = 100, .maximum = MAX_TIMEOUT_MS,
-    .fallback = 2000, .unit = "ms" },
+  { "settle_ms", TT_JSON_UINT32, FIELD (bounds.settle_ms), .minimum = 200,
+    .maximum = MAX_TIMEOUT_MS, .fallback = 3000, .unit = "ms" },
+  { "leaving_ms", TT_JSON_UINT32, FIELD (bounds.leaving_ms), .minimum = 100,
+    .maximum = MAX_TIMEOUT_MS, .fallback = 2000, .unit = "ms" },
 };
 
 static const TtJsonField curve_fields[] = {
@@ -96,9 +96,10 @@
 };
 
 static const TtJsonField drain_fields[] = {
-  { "announce_ms", TT_JSON_UINT32, FIELD (drain_announce_ms), .maximum = MAX_TIMEOUT_MS,
+  { "announce_ms", TT_JSON_UINT32, FIELD (bounds.drain_announce_ms), .maximum = MAX_TIMEOUT_MS,
     .fallback = 5000, .unit = "ms" },
-  { "limit_ms", TT_JSON_UINT32, FIELD (drain_limit_ms), .maximum = MAX_TIMEOUT_MS, .unit = "ms" },
+  { "limit_ms", TT_JSON_UINT32, FIELD (bounds.drain_limit_ms), .maximum = MAX_TIMEOUT_MS,
+    .unit = "ms" },
 };
 
 typedef struct
--- a/src/tarragontrack/codec/settings_defs.h
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -1,6 +1,7 @@
 /// Settings of one daemon, from its settings file.
 #pragma once
 
+#include "tarragontrack/board/bounds_defs.h"
 #include "tarragontrack/board/limits_defs.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -50,20 +51,13 @@
   TtEndpoint metrics; ///< further address for operators; empty = none
   TtEndpoint peer;
   char platform_url[TT_URL_MAX];
-  int configuration;     ///< TtConfigurationKind
-  double load_factor;    ///< bound on a backend server's load, as a multiple of the mean
-  double repeat_ratio;   ///< repeated sends of the whole fleet for each request
-  uint32_t repeat_slack; ///< repeated sends beyond that in one window
-  uint32_t repeat_window_ms;
-  uint32_t settle_ms;  ///< after the end of a disruption, until all bounds hold again
-  uint32_t leaving_ms; ///< for which a backend server serves after its entry says that it leaves
+  int configuration; ///< TtConfigurationKind
+  TtBounds bounds;
   TtCurveKeys curve;
   uint32_t max_requests;
   uint32_t max_attempts;
   uint32_t max_accounts;
   uint32_t max_body_bytes;
   uint32_t max_header_bytes;
-  uint32_t read_timeout_ms;   ///< longest wait for the rest of a caller's request
-  uint32_t drain_announce_ms; ///< time between readiness false and refusal
-  uint32_t drain_limit_ms;    ///< 0 = wait for the last request without limit
+  uint32_t read_timeout_ms; ///< longest wait for the rest of a caller's request
 } TtSettings;
--- a/src/tarragontrack/control/budget.c
+++ b/src/tarragontrack/control/budget.c
@@ -9,7 +9,7 @@
 static void
 advance (TtBudgetPool *budget, const TtBoardConfig *config, int64_t now_us)
 {
-  int64_t slot_us = config->repeat_window_ms * TT_MILLISECOND_US / TT_BUDGET_SLOTS;
+  int64_t slot_us = config->bounds.repeat_window_ms * TT_MILLISECOND_US / TT_BUDGET_SLOTS;
   int64_t slot = slot_us > 0 ? now_us / slot_us : 0;
 
   // After a change of the window the number may be a smaller one.
@@ -48,8 +48,8 @@
       repeats += budget->repeats[i];
     }
   allowed = USED_PART
-            * (config->repeat_ratio * requests
-               + (double) config->repeat_slack / (daemons > 0 ? daemons : 1));
+            * (config->bounds.repeat_ratio * requests
+               + (double) config->bounds.repeat_slack / (daemons > 0 ? daemons : 1));
   if (repeats + 1 > allowed)
     return false;
   budget->repeats[budget->slot % TT_BUDGET_SLOTS]++;
--- a/src/tarragontrack/control/dispatch.c
+++ b/src/tarragontrack/control/dispatch.c
@@ -131,7 +131,8 @@
       live++;
       sum += load_of (backend, now_us);
     }
-  return live > 0 ? board->config.load_factor * sum / live + (slack > 0.0 ? slack : 0.0) : 0.0;
+  return live > 0 ? board->config.bounds.load_factor * sum / live + (slack > 0.0 ? slack : 0.0)
+                  : 0.0;
 }
 
 /// The first engine in the ranking for a prompt that may take the request and has room; the least
--- a/src/tarragontrack/control/drain.c
+++ b/src/tarragontrack/control/drain.c
@@ -113,7 +113,7 @@
 close_down (TtBoard *board, int64_t now_us)
 {
   TtDrainSection *section = &board->drain;
-  int64_t limit_us = board->config.drain_limit_ms * TT_MILLISECOND_US;
+  int64_t limit_us = board->config.bounds.drain_limit_ms * TT_MILLISECOND_US;
 
   if (limit_us > 0 && now_us - section->started_us >= limit_us)
     end_requests (board);
@@ -138,7 +138,7 @@
   (void) context;
   set_ready (board, section->state == TT_DRAIN_SERVING && is_complete (board));
   if (section->state == TT_DRAIN_ANNOUNCED
-      && now_us - section->started_us >= board->config.drain_announce_ms * TT_MILLISECOND_US)
+      && now_us - section->started_us >= board->config.bounds.drain_announce_ms * TT_MILLISECOND_US)
     {
       section->state = TT_DRAIN_CLOSING;
       send_leave (board);
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -111,7 +111,7 @@
 gather_us (const TtBoard *board, TtStoreKind kind)
 {
   if (kind == TT_STORE_SERVERS)
-    return board->config.leaving_ms * TT_MILLISECOND_US / GATHER_PART;
+    return board->config.bounds.leaving_ms * TT_MILLISECOND_US / GATHER_PART;
   return kind == TT_STORE_DAEMONS ? GATHER_DAEMONS_US : 0;
 }
 
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -112,7 +112,7 @@
 may_have_lapsed (const TtBoard *board, int64_t now_us)
 {
   const TtFeedStream *stream = &board->feed.streams[TT_STORE_SERVERS];
-  int64_t settle_us = board->config.settle_ms * TT_MILLISECOND_US - SETTLE_RESERVE_US;
+  int64_t settle_us = board->config.bounds.settle_ms * TT_MILLISECOND_US - SETTLE_RESERVE_US;
 
   return stream->lost_us != 0 || (stream->failed_us != 0 && now_us - stream->failed_us < settle_us);
 }
--- a/src/tarragontrack/io/reload.c
+++ b/src/tarragontrack/io/reload.c
@@ -1,9 +1,7 @@
 #include "tarragontrack/io/reload.h"
-#include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/codec/settings.h"
 #include "tarragontrack/io/log.h"
-#include "tarragontrack/io/router_options.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -59,25 +57,6 @@
   tt_log_write (TT_LOG_SETTINGS_RELOADED, text);
 }
 
-/// Takes over the values that a running daemon can change.
-static void
-take_over (TtReload *reload, const TtSettings *fresh)
-{
-  TtBoardConfig config;
-
-  tt_router_board_config (fresh, &config);
-  tt_board_set_bounds (reload->board, &config);
-  reload->current.curve = fresh->curve;
-  reload->current.drain_announce_ms = fresh->drain_announce_ms;
-  reload->current.drain_limit_ms = fresh->drain_limit_ms;
-  reload->current.load_factor = fresh->load_factor;
-  reload->current.repeat_ratio = fresh->repeat_ratio;
-  reload->current.repeat_slack = fresh->repeat_slack;
-  reload->current.repeat_window_ms = fresh->repeat_window_ms;
-  reload->current.settle_ms = fresh->settle_ms;
-  reload->current.leaving_ms = fresh->leaving_ms;
-}
-
 void
 tt_reload_run (TtReload *reload, const char *cause)
 {
@@ -96,7 +75,9 @@
   if (code == TT_OK)
     {
       log_changes (reload, fresh, cause);
-      take_over (reload, fresh);
+      reload->current.curve = fresh->curve;
+      reload->current.bounds = fresh->bounds;
+      reload->board->config.bounds = fresh->bounds;
     }
   else
     {
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -35,15 +35,8 @@
   config->max_requests = settings->max_requests;
   config->max_attempts = settings->max_attempts;
   config->max_accounts = settings->max_accounts;
-  config->drain_announce_ms = settings->drain_announce_ms;
-  config->drain_limit_ms = settings->drain_limit_ms;
   config->by_routes = settings->configuration == TT_CONFIGURATION_ROUTES;
-  config->load_factor = settings->load_factor;
-  config->repeat_ratio = settings->repeat_ratio;
-  config->repeat_slack = settings->repeat_slack;
-  config->repeat_window_ms = settings->repeat_window_ms;
-  config->settle_ms = settings->settle_ms;
-  config->leaving_ms = settings->leaving_ms;
+  config->bounds = settings->bounds;
 }
 
 void
--- a/test/codec/settings_test.c
+++ b/test/codec/settings_test.c
@@ -29,7 +29,7 @@
   CU_ASSERT_STRING_EQUAL (settings.platform_url, "http://127.0.0.1:8500");
   CU_ASSERT_EQUAL (settings.max_requests, 10);
   CU_ASSERT_EQUAL (settings.max_header_bytes, 16384);
-  CU_ASSERT_EQUAL (settings.drain_announce_ms, 5000);
+  CU_ASSERT_EQUAL (settings.bounds.drain_announce_ms, 5000);
   CU_ASSERT (settings.curve.enabled && settings.curve.accepted_count == 1);
   CU_ASSERT_STRING_EQUAL (settings.curve.accepted_keys[0], KEY);
 }
@@ -52,9 +52,9 @@
   CU_ASSERT_EQUAL (settings.caller.port, 8227);
   CU_ASSERT_EQUAL (settings.operators.port, 8220);
   CU_ASSERT_EQUAL (settings.configuration, TT_CONFIGURATION_ROUTES);
-  CU_ASSERT_DOUBLE_EQUAL (settings.load_factor, 2.5, 0.0);
-  CU_ASSERT_EQUAL (settings.repeat_slack, 56);
-  CU_ASSERT_EQUAL (settings.repeat_window_ms, 10000);
+  CU_ASSERT_DOUBLE_EQUAL (settings.bounds.load_factor, 2.5, 0.0);
+  CU_ASSERT_EQUAL (settings.bounds.repeat_slack, 56);
+  CU_ASSERT_EQUAL (settings.bounds.repeat_window_ms, 10000);
 }
 
 /// Guards against a changed key that is not told, or is told as taken over though it needs a
@@ -72,8 +72,8 @@
   after = before;
   tt_settings_changes (&before, &after, true, keys, sizeof keys);
   CU_ASSERT_STRING_EQUAL (keys, "none");
-  after.repeat_slack++;
-  after.drain_limit_ms++;
+  after.bounds.repeat_slack++;
+  after.bounds.drain_limit_ms++;
   after.max_requests++;
   tt_settings_changes (&before, &after, true, keys, sizeof keys);
   CU_ASSERT_STRING_EQUAL (keys, "drain.limit_ms,bounds.repeat_slack");
--- a/test/control/budget_test.c
+++ b/test/control/budget_test.c
@@ -2,7 +2,7 @@
 #include "tarragontrack/control/budget.h"
 
 static const TtBoardConfig config
-    = { .repeat_ratio = 0.2, .repeat_slack = 50, .repeat_window_ms = 10000 };
+    = { .bounds.repeat_ratio = 0.2, .bounds.repeat_slack = 50, .bounds.repeat_window_ms = 10000 };
 
 /// Takes until the budget refuses. RETURN the number taken.
 static unsigned
@@ -52,7 +52,7 @@
   int64_t now_us = 100 * TT_SECOND_US;
   unsigned first = take_all (&budget, 5, now_us);
 
-  longer.repeat_window_ms = 20000;
+  longer.bounds.repeat_window_ms = 20000;
   (void) tt_budget_take (&budget, &longer, 5, now_us);
   CU_ASSERT_TRUE (tt_budget_take (&budget, &longer, 5, now_us + 25 * TT_SECOND_US));
   CU_ASSERT (first > 0);
--- a/test/control/drain_test.c
+++ b/test/control/drain_test.c
@@ -15,8 +15,8 @@
   world_start (board, 1, T0 - 5 * TT_SECOND_US);
   (void) drive_batch (board, 1);
   drive_ticks (board, T0 - 5 * TT_SECOND_US, T0);
-  board->config.drain_announce_ms = 1000;
-  board->config.drain_limit_ms = limit_ms;
+  board->config.bounds.drain_announce_ms = 1000;
+  board->config.bounds.drain_limit_ms = limit_ms;
   (void) drive_request (board, "small", "", 1, T0);
   (void) drive_request (board, "small", "", 2, T0);
   *open = drive_dispatch (board);
--- a/test/io/reload_test.c
+++ b/test/io/reload_test.c
@@ -98,7 +98,7 @@
   CU_ASSERT_EQUAL (world.applied, 0);
   tt_reload_check (&world.reload, T0 + TT_SECOND_US);
   CU_ASSERT_EQUAL (world.applied, 1);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 80);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 80);
   tt_reload_check (&world.reload, T0 + 2 * TT_SECOND_US);
   CU_ASSERT_EQUAL (world.applied, 1);
   close_world (&world);
@@ -114,7 +114,7 @@
   open_world (&world);
   tt_reload_run (&world.reload, "signal");
   CU_ASSERT_EQUAL (world.applied, 1);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 50);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 50);
   close_world (&world);
 }
 
@@ -129,19 +129,19 @@
   write_file (&world, 80, 64, "");
   tt_reload_check (&world.reload, T0);
   CU_ASSERT_EQUAL (world.applied, 0);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 50);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 50);
   CU_ASSERT_EQUAL (unlink (world.path), 0);
   tt_reload_check (&world.reload, T0 + TT_SECOND_US);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 50);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 50);
   write_file (&world, 80, 64, "}");
   world.answer = TT_E_INVALID;
   tt_reload_check (&world.reload, T0 + 2 * TT_SECOND_US);
   CU_ASSERT_EQUAL (world.applied, 1);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 50);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 50);
   world.answer = TT_OK;
   write_file (&world, 90, 64, "}");
   tt_reload_check (&world.reload, T0 + 3 * TT_SECOND_US);
-  CU_ASSERT_EQUAL (world.board->config.repeat_slack, 90);
+  CU_ASSERT_EQUAL (world.board->config.bounds.repeat_slack, 90);
   close_world (&world);
 }
 
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -187,8 +187,8 @@
   sim->board.max_requests = 1024;
   sim->board.max_attempts = 2048;
   sim->board.max_accounts = 64;
-  sim->board.drain_announce_ms = 500;
-  sim->board.drain_limit_ms = 60000;
+  sim->board.bounds.drain_announce_ms = 500;
+  sim->board.bounds.drain_limit_ms = 60000;
   sim->hooks
       = (SimHooks){ .context = fleet, .act = carry_out, .handle = handle, .deliver = deliver };
   sim->store->reuse_versions = true;
--- a/test/support/routed.c
+++ b/test/support/routed.c
@@ -24,15 +24,15 @@
                            .max_requests = 64,
                            .max_attempts = 128,
                            .max_accounts = 8,
-                           .drain_announce_ms = 3000,
-                           .drain_limit_ms = 7000,
+                           .bounds.drain_announce_ms = 3000,
+                           .bounds.drain_limit_ms = 7000,
                            .by_routes = true,
-                           .load_factor = 2.0,
-                           .repeat_ratio = 0.2,
-                           .repeat_slack = 50,
-                           .repeat_window_ms = 10000,
-                           .settle_ms = 3000,
-                           .leaving_ms = 2000 };
+                           .bounds.load_factor = 2.0,
+                           .bounds.repeat_ratio = 0.2,
+                           .bounds.repeat_slack = 50,
+                           .bounds.repeat_window_ms = 10000,
+                           .bounds.settle_ms = 3000,
+                           .bounds.leaving_ms = 2000 };
 
   routed->board = tt_board_new (&config);
   UNIT_REQUIRE (routed->board != NULL);
