--- a/src/tarragontrack/control/poison.c
+++ b/src/tarragontrack/control/poison.c
@@ -160,19 +160,22 @@
   return count;
 }
 
-/// Notes that a request ended well, here or at another daemon, and ends the suspicion.
+/// Notes that a request ended well, here or at another daemon, and ends the suspicion. What was
+/// only heard of and blocked nothing gets no line: each daemon hears of each crash in the fleet.
 static void
 clear_suspect (TtBoard *board, uint64_t fingerprint, const char *source, int64_t now_us)
 {
   TtSuspect *suspect = find_suspect (board, fingerprint);
+  bool blocked;
 
   *completed_place (board, fingerprint) = (TtCompletedRequest){ fingerprint, now_us };
   if (suspect == NULL)
     return;
-  tt_board_log (board, TT_LOG_REQUEST_CLEARED,
-                "fingerprint=%016llx strikes=%u blocked=%d source=%s",
-                (unsigned long long) fingerprint, suspect->strikes,
-                suspect->blocked_until_us > now_us, source);
+  blocked = suspect->blocked_until_us > now_us;
+  if (blocked || !suspect->heard)
+    tt_board_log (board, TT_LOG_REQUEST_CLEARED,
+                  "fingerprint=%016llx strikes=%u blocked=%d source=%s",
+                  (unsigned long long) fingerprint, suspect->strikes, blocked, source);
   free_suspect (board, suspect);
 }
 
