--- a/src/tarragontrack/io/reload.c
+++ b/src/tarragontrack/io/reload.c
@@ -57,29 +57,34 @@
   tt_log_write (TT_LOG_SETTINGS_RELOADED, text);
 }
 
+/// Reads the file into @fresh and takes it over. RETURN 0 or a negative error number.
+static int
+take_over (TtReload *reload, TtSettings *fresh, const char *cause, TtError *error)
+{
+  int code = tt_settings_load (reload->path, fresh, error);
+
+  if (code == TT_OK && reload->apply != NULL)
+    code = reload->apply (reload->context, fresh, error);
+  if (code < 0)
+    return code;
+  log_changes (reload, fresh, cause);
+  reload->current.curve = fresh->curve;
+  reload->current.bounds = fresh->bounds;
+  reload->board->config.bounds = fresh->bounds;
+  return TT_OK;
+}
+
 void
 tt_reload_run (TtReload *reload, const char *cause)
 {
   TtSettings *fresh = malloc (sizeof *fresh);
   TtError error = { 0 };
   char text[TT_LOG_TEXT_MAX];
-  int code;
 
   reload->state = file_state (reload->path);
   if (fresh == NULL)
-    code = tt_error_set (&error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, reload->path, "settings");
-  else
-    code = tt_settings_load (reload->path, fresh, &error);
-  if (code == TT_OK && reload->apply != NULL)
-    code = reload->apply (reload->context, fresh, &error);
-  if (code == TT_OK)
-    {
-      log_changes (reload, fresh, cause);
-      reload->current.curve = fresh->curve;
-      reload->current.bounds = fresh->bounds;
-      reload->board->config.bounds = fresh->bounds;
-    }
-  else
+    (void) tt_error_set (&error, TT_E_NO_MEMORY, TT_STEP_SETTINGS, reload->path, "settings");
+  if (fresh == NULL || take_over (reload, fresh, cause, &error) < 0)
     {
       tt_error_format (&error, text, sizeof text);
       tt_log_write (TT_LOG_SETTINGS_REFUSED, text);
