fix(drain): a request was taken after the announcement and cut

The announcement lasted 3.0 s from when the signal was handled, and its end was noticed with the next tick only. Ruled out: the drain's limit (what was sent within 3 s may be cut there), the clock (1002 is logged at the SIGTERM's millisecond).

--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -4,6 +4,7 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/drain.h"
 #include <string.h>
 
 enum
@@ -185,7 +186,7 @@
   uint32_t wait_ms;
   uint32_t room;
 
-  if (board->drain.state >= TT_DRAIN_CLOSING)
+  if (tt_drain_refuses (board, now_us))
     {
       tt_admit_refuse (board, request, 503, RETRY_AFTER_MS, "this router shuts down");
       return;
--- a/src/tarragontrack/control/drain.c
+++ b/src/tarragontrack/control/drain.c
@@ -1,3 +1,4 @@
+#include "tarragontrack/control/drain.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/request.h"
@@ -130,6 +131,16 @@
   (void) tt_board_act (board, TT_ACTION_EXIT);
 }
 
+bool
+tt_drain_refuses (const TtBoard *board, int64_t now_us)
+{
+  const TtDrainSection *section = &board->drain;
+  int64_t announce_us = board->config.bounds.drain_announce_ms * TT_MILLISECOND_US;
+
+  return section->state >= TT_DRAIN_CLOSING
+         || (section->state == TT_DRAIN_ANNOUNCED && now_us - section->started_us >= announce_us);
+}
+
 static void
 run (void *context, TtBoard *board, int64_t now_us)
 {
@@ -137,8 +148,7 @@
 
   (void) context;
   set_ready (board, section->state == TT_DRAIN_SERVING && is_complete (board));
-  if (section->state == TT_DRAIN_ANNOUNCED
-      && now_us - section->started_us >= board->config.bounds.drain_announce_ms * TT_MILLISECOND_US)
+  if (section->state == TT_DRAIN_ANNOUNCED && tt_drain_refuses (board, now_us))
     {
       section->state = TT_DRAIN_CLOSING;
       send_leave (board);
--- a/src/tarragontrack/control/routes.c
+++ b/src/tarragontrack/control/routes.c
@@ -5,6 +5,7 @@
 #include "tarragontrack/board/route.h"
 #include "tarragontrack/control/budget.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/drain.h"
 #include <stdio.h>
 
 /// When a caller is asked to come back while no configuration is known, in ms. A daemon that starts
@@ -164,7 +165,7 @@
   const TtRouteTarget *target;
   const TtRoute *route;
 
-  if (board->drain.state >= TT_DRAIN_CLOSING)
+  if (tt_drain_refuses (board, now_us))
     {
       refuse (board, request, 503, DRAIN_RETRY_MS, "this daemon shuts down");
       return;
--- a/test/control/routes_test.c
+++ b/test/control/routes_test.c
@@ -96,6 +96,28 @@
   routed_close (&routed);
 }
 
+/// Guards against a request that arrives after the announcement, but before the next tick, and is
+/// cut at the limit (skurd-tarragon, hunt-56d9-3: sent 3.0 s after SIGTERM).
+static void
+refuses_between_ticks (void)
+{
+  const TtEvent drain = { .type = TT_EVENT_DRAIN };
+  const TtEvent tick = { .type = TT_EVENT_TICK };
+  TtAction action = { 0 };
+
+  routed_open (&routed);
+  routed_configure (&routed, 1, false);
+  routed_list_servers (&routed, ROUTED_PLAIN, 1, "p1");
+  routed_post (&routed, 1, &drain);
+  routed_post (&routed, 2990, &tick);
+  (void) routed_request (&routed, "/get/x", 0, 600);
+  CU_ASSERT_TRUE (routed_take (&routed, TT_ACTION_DISPATCH, &action));
+  routed.now_us += 10 * TT_MILLISECOND_US;
+  (void) routed_request (&routed, "/get/y", 0, 600);
+  CU_ASSERT_EQUAL (take_reply ().status, 503);
+  routed_close (&routed);
+}
+
 /// Guards against a request beyond the bound that is dropped without an answer, a count or a line.
 static void
 too_many (void)
@@ -123,6 +145,7 @@
   { "never_older", never_older },
   { "wrong_requests", wrong_requests },
   { "shuts_down", shuts_down },
+  { "refuses_between_ticks", refuses_between_ticks },
   { "too_many", too_many },
 };
 
