--- a/src/tarragontrack/control/poison.c
+++ b/src/tarragontrack/control/poison.c
@@ -7,6 +7,7 @@
 #include "tarragontrack/control/health.h"
 #include <stdlib.h>
 
+/// Time for which a fingerprint is blocked, for its strikes from the last one on (design, 5.10).
 #define BLOCK_US (600 * TT_SECOND_US)
 /// A request that crashes backend servers never ends well, so one that did within this time is not
 /// the cause of a crash. Longer than a backend server needs to return after a crash (some seconds).
