--- a/test/control/recovery_test.c
+++ b/test/control/recovery_test.c
@@ -32,6 +32,16 @@
   return action.attempt;
 }
 
+/// Takes the next DISPATCH action's attempt and tells the board that it was sent.
+static TtAttemptAction
+take_sent (void)
+{
+  TtAttemptAction attempt = take_attempt ();
+
+  routed_sent (&routed, attempt.attempt_id);
+  return attempt;
+}
+
 /// Guards against a second run of a request that may run once after its connection broke.
 static void
 once_is_not_repeated (void)
@@ -41,8 +51,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/once/x", 0, 600);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   routed_failed (&routed, attempt.attempt_id, TT_E_CRASHED, true);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_REPLY, &action));
   CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_UNKNOWN);
@@ -77,8 +86,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/once/x", 0, 600);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   routed_done (&routed, attempt.attempt_id, 503, true);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_REPLY, &action));
   CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_NOT_RUN);
@@ -97,8 +105,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/get/x", 0, 1500);
-  first = take_attempt ();
-  routed_sent (&routed, first.attempt_id);
+  first = take_sent ();
   routed_done (&routed, first.attempt_id, 500, false);
   second = take_attempt ();
   routed_wait (&routed, 300); // the second connects slowly; it is late
@@ -119,8 +126,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/get/x", 0, 1500);
-  first = take_attempt ();
-  routed_sent (&routed, first.attempt_id);
+  first = take_sent ();
   routed_wait (&routed, 150);
   second = take_attempt ();
   CU_ASSERT_NOT_EQUAL (first.backend_id, second.backend_id);
@@ -142,8 +148,7 @@
 
   open_two ();
   (void) routed_request (&routed, "/s/x", 7, 6000);
-  first = take_attempt ();
-  routed_sent (&routed, first.attempt_id);
+  first = take_sent ();
   routed_event (&routed, first.attempt_id, 1);
   routed_event (&routed, first.attempt_id, 2);
   routed_failed (&routed, first.attempt_id, TT_E_CRASHED, true);
@@ -162,8 +167,7 @@
 
   open_two ();
   (void) routed_request (&routed, "/s/x", 7, 6000);
-  first = take_attempt ();
-  routed_sent (&routed, first.attempt_id);
+  first = take_sent ();
   routed_wait (&routed, 550); // the goal is 400 ms
   CU_ASSERT_EQUAL (routed_count (&routed, TT_ACTION_DISPATCH), 0);
   routed_wait (&routed, 100);
@@ -181,8 +185,7 @@
 
   open_two ();
   (void) routed_request (&routed, "/two/x", 7, 6000);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   routed_event (&routed, attempt.attempt_id, 1);
   routed_wait (&routed, 4000);
   CU_ASSERT_EQUAL (routed_count (&routed, TT_ACTION_CANCEL), 0);
@@ -195,12 +198,10 @@
 time_is_over (void)
 {
   TtAction action = { 0 };
-  TtAttemptAction attempt;
 
   open_desk ();
   (void) routed_request (&routed, "/once/x", 0, 600);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  (void) take_sent ();
   routed_wait (&routed, 700);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_REPLY, &action));
   CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_UNKNOWN);
@@ -218,8 +219,7 @@
 
   open_two ();
   event.request_id = routed_request (&routed, "/s/x", 7, 6000);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   routed_post (&routed, 1, &event);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_CANCEL, &action));
   CU_ASSERT_EQUAL (action.attempt.attempt_id, attempt.attempt_id);
@@ -237,12 +237,10 @@
 
   open_two ();
   (void) routed_request (&routed, "/s/x", 7, 6000);
-  first = take_attempt ();
-  routed_sent (&routed, first.attempt_id);
+  first = take_sent ();
   routed_event (&routed, first.attempt_id, 1);
   routed_failed (&routed, first.attempt_id, TT_E_CRASHED, true);
-  second = take_attempt ();
-  routed_sent (&routed, second.attempt_id);
+  second = take_sent ();
   (void) routed_count (&routed, TT_ACTION_RELAY);
   routed_done (&routed, second.attempt_id, 500, false);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_REPLY, &action));
@@ -260,8 +258,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/once/x", 0, 600);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   routed_done (&routed, attempt.attempt_id, 503, false);
   UNIT_REQUIRE (routed_take (&routed, TT_ACTION_REPLY, &action));
   CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_UNKNOWN);
@@ -279,8 +276,7 @@
 
   open_desk ();
   (void) routed_request (&routed, "/get/x", 0, 1500);
-  attempt = take_attempt ();
-  routed_sent (&routed, attempt.attempt_id);
+  attempt = take_sent ();
   event.attempt
       = (TtAttemptEvent){ .attempt_id = attempt.attempt_id, .status = 200, .partial = true };
   routed_post (&routed, 1, &event);
--- a/test/io/reload_test.c
+++ b/test/io/reload_test.c
@@ -62,7 +62,7 @@
   int file;
 
   memset (world, 0, sizeof *world);
-  (void) snprintf (world->path, sizeof world->path, "/tmp/reload-test-XXXXXX");
+  (void) snprintf (world->path, sizeof world->path, "reload-test-XXXXXX");
   file = mkstemp (world->path);
   UNIT_REQUIRE (file >= 0);
   (void) close (file);
