fix(notice): answers that say their backend server leaves bind the daemon at once (DRAIN)

Cause: the header Server-Leaving of answers was read nowhere; only the list of backend servers counted, and it is old while a daemon is cut off or the store is away. Change: the head of each answer is read, with the process (born) that the attempt was sent to. The new controller notice keeps what a process said in a table of its own, which outlives the record of the backend server; registry puts it over entries, lists and copies until the process is a new one. The others are told in a status message at once, and repeat it for no one else. One gate: tt_backend_accepts(), which tt_attempt_new() asks for every attempt (first send, retry, hedge, resumed stream, end of a wait), and which prompt copies and load polls ask too. Log line 4011 and a counter tell what an answer said from what a list said.

--- a/src/tarragontrack/board/backend.c
+++ b/src/tarragontrack/board/backend.c
@@ -39,6 +39,12 @@
   return NULL;
 }
 
+bool
+tt_backend_accepts (const TtBackendServer *backend)
+{
+  return backend->roster.state == TT_BACKEND_LIVE;
+}
+
 TtBackendServer *
 tt_backend_new (TtBoard *board, uint64_t id)
 {
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -12,6 +12,7 @@
 #include "tarragontrack/board/length_defs.h"
 #include "tarragontrack/board/limits_defs.h"
 #include "tarragontrack/board/list.h"
+#include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/order_defs.h"
 #include "tarragontrack/board/place_defs.h"
 #include "tarragontrack/board/recovery_defs.h"
--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -11,6 +11,7 @@
 #include "tarragontrack/board/event_defs.h"
 #include "tarragontrack/board/fleet_defs.h"
 #include "tarragontrack/board/lease_defs.h"
+#include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/order_section_defs.h"
 #include "tarragontrack/board/reader_defs.h"
 #include "tarragontrack/board/rng.h"
@@ -101,6 +102,7 @@
   TtDrainSection drain;
   TtFeedSection feed;
   TtRouteSection routes;
+  TtNoticeSection notice;
   TtRegistrySection registry;
   TtFleetSection fleet;
   TtReaderSection reader;
--- a/src/tarragontrack/board/counter_defs.h
+++ b/src/tarragontrack/board/counter_defs.h
@@ -25,6 +25,8 @@
   X (EJECTIONS, "tarragontrack_ejections_total", "backend servers ejected as stragglers")          \
   X (CRASHES, "tarragontrack_backend_crashes_total", "backend servers that crashed at work")       \
   X (BLOCKED, "tarragontrack_requests_blocked_total", "requests stopped after crashes")            \
+  X (LEAVING_NOTICES, "tarragontrack_backend_leaving_notices_total",                               \
+     "backend servers that said in a response that they leave")                                    \
   X (CLAIMS, "tarragontrack_claims_total", "claims owned")                                         \
   X (CLAIM_WRITES, "tarragontrack_claim_writes_total", "conditional updates of claim shards")      \
   X (PLATFORM_CALLS, "tarragontrack_platform_calls_total", "calls to the platform")                \
--- a/src/tarragontrack/board/fleet_defs.h
+++ b/src/tarragontrack/board/fleet_defs.h
@@ -3,6 +3,7 @@
 
 #include "tarragontrack/board/limits_defs.h"
 #include "tarragontrack/board/list.h"
+#include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/poison_defs.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -55,6 +56,8 @@
   TtStatusPrefixHolder prefix_holders[TT_MAX_STATUS_HOLDERS];
   uint32_t suspect_count;
   TtPeerSuspect suspects[TT_PEER_MAX_SUSPECTS];
+  uint32_t notice_count;
+  TtPeerNotice notices[TT_PEER_MAX_NOTICES]; ///< leaving backend servers that the sender noticed
 } TtDaemonStatus;
 
 /// Sums of loads. A collector sends them to the daemons of its failure domain, summed over all
--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -51,6 +51,7 @@
   X (CONNECTION_SILENT, 4008, WARN)                                                                \
   X (DOMAIN_CUT, 4009, WARN)                                                                       \
   X (DOMAIN_REACHED, 4010, INFO)                                                                   \
+  X (BACKEND_SAID_LEAVING, 4011, INFO)                                                             \
   X (ORDER_SENT, 4101, INFO)                                                                       \
   X (ORDER_REFUSED, 4102, WARN)                                                                    \
   X (ORDER_CONFIRMED, 4103, INFO)                                                                  \
--- a/src/tarragontrack/board/request.c
+++ b/src/tarragontrack/board/request.c
@@ -1,4 +1,5 @@
 #include "tarragontrack/board/request.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -112,10 +113,13 @@
 tt_attempt_new (TtBoard *board, TtRequest *request, TtBackendServer *backend, bool hedge,
                 int64_t now_us)
 {
-  TtLink *link = tt_list_pop (&board->requests.free_attempts);
+  TtLink *link;
   TtAttempt *attempt;
   TtAction *action;
 
+  if (!tt_backend_accepts (backend))
+    return NULL;
+  link = tt_list_pop (&board->requests.free_attempts);
   if (link == NULL)
     return NULL;
   attempt = TT_CONTAINER_OF (link, TtAttempt, request_link);
@@ -125,6 +129,7 @@
   attempt->token = tt_rng_id128 (&board->rng);
   attempt->request = request;
   attempt->backend = backend;
+  attempt->process_start_ms = backend->registry.process_start_ms;
   attempt->hedge = hedge;
   attempt->resume_from = request->relayed_tokens;
   attempt->dispatched_us = now_us;
--- a/src/tarragontrack/board/request_defs.h
+++ b/src/tarragontrack/board/request_defs.h
@@ -94,6 +94,7 @@
   TtId128 token; ///< random; sent with the attempt and compared with the response's
   TtRequest *request;
   TtBackendServer *backend;
+  uint64_t process_start_ms; ///< process of the backend server when the attempt was dispatched
   TtAttemptState state;
   bool hedge;           ///< opened while another attempt of the request was open
   uint32_t resume_from; ///< tokens relayed before this attempt; 0 = from the start
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -210,6 +210,22 @@
   return list.count;
 }
 
+/// Decodes at most TT_PEER_MAX_NOTICES notices. RETURN their number.
+static uint32_t
+decode_notices (TtPeerFieldCursor *body, TtPeerNotice *notices)
+{
+  TtPeerFieldCursor list = tt_peer_fields_next_array (body, TT_PEER_MAX_NOTICES);
+
+  for (uint32_t i = 0; i < list.count; i++)
+    {
+      TtPeerFieldCursor fields = tt_peer_fields_next_array (&list, MAX_RECORD_FIELDS);
+
+      notices[i].backend_id = tt_peer_fields_next_u64 (&fields);
+      notices[i].process_start_ms = tt_peer_fields_next_u64 (&fields);
+    }
+  return list.count;
+}
+
 static void
 decode_sums (TtPeerFieldCursor *body, TtLoadSums *sums)
 {
@@ -236,6 +252,8 @@
   status->domain_id = tt_peer_fields_next_u64 (body);
   status->reads_store = tt_peer_fields_next_u32 (body, 1) != 0;
   status->change_revision = tt_peer_fields_next_u64 (body);
+  if (tt_peer_fields_has_next (body))
+    status->notice_count = decode_notices (body, status->notices);
 }
 
 /// Decodes a routing table. TtPeerTable.text points into the bytes of the message.
--- a/src/tarragontrack/codec/peer_encode.c
+++ b/src/tarragontrack/codec/peer_encode.c
@@ -185,6 +185,18 @@
     }
 }
 
+static void
+pack_notices (msgpack_packer *packer, const TtPeerNotice *notices, uint32_t count)
+{
+  (void) msgpack_pack_array (packer, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      (void) msgpack_pack_array (packer, 2);
+      (void) msgpack_pack_uint64 (packer, notices[i].backend_id);
+      (void) msgpack_pack_uint64 (packer, notices[i].process_start_ms);
+    }
+}
+
 static void
 pack_sums (msgpack_packer *packer, const TtLoadSums *sums)
 {
@@ -199,7 +211,7 @@
 static void
 pack_status (msgpack_packer *packer, const TtDaemonStatus *status)
 {
-  (void) msgpack_pack_array (packer, 11);
+  (void) msgpack_pack_array (packer, 12);
   pack_string (packer, status->name);
   pack_address (packer, status->address);
   (void) msgpack_pack_uint16 (packer, status->port);
@@ -211,6 +223,7 @@
   (void) msgpack_pack_uint64 (packer, status->domain_id);
   (void) msgpack_pack_uint32 (packer, status->reads_store ? 1 : 0);
   (void) msgpack_pack_uint64 (packer, status->change_revision);
+  pack_notices (packer, status->notices, status->notice_count);
 }
 
 static void
--- a/src/tarragontrack/control/controllers.h
+++ b/src/tarragontrack/control/controllers.h
@@ -34,6 +34,7 @@
 TtController tt_drain_controller (void);
 TtController tt_feed_controller (void);
 TtController tt_routes_controller (void);
+TtController tt_notice_controller (void);
 TtController tt_registry_controller (void);
 TtController tt_breaker_controller (void);
 TtController tt_dispatch_controller (void);
--- a/src/tarragontrack/control/dispatch.c
+++ b/src/tarragontrack/control/dispatch.c
@@ -86,7 +86,7 @@
 is_eligible (const TtBoard *board, const TtRequest *request, const TtBackendServer *backend,
              int64_t now_us)
 {
-  return backend->roster.state == TT_BACKEND_LIVE && tt_breaker_allows (board, backend, now_us)
+  return tt_backend_accepts (backend) && tt_breaker_allows (board, backend, now_us)
          && !was_tried (request, backend);
 }
 
@@ -101,7 +101,7 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
 
-      if (backend->roster.state != TT_BACKEND_LIVE || !tt_breaker_allows_last_resort (backend)
+      if (!tt_backend_accepts (backend) || !tt_breaker_allows_last_resort (backend)
           || was_tried (request, backend))
         continue;
       if (best == NULL
--- a/src/tarragontrack/control/fleet.c
+++ b/src/tarragontrack/control/fleet.c
@@ -4,6 +4,7 @@
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/control/fleet_copies.h"
 #include "tarragontrack/control/fleet_loads.h"
+#include "tarragontrack/control/notice.h"
 #include "tarragontrack/control/poison.h"
 #include "tarragontrack/control/prefix_table.h"
 #include "tarragontrack/control/reader.h"
@@ -172,11 +173,13 @@
   status->change_revision = board->registry.change_revision;
 }
 
-/// Adds the suspect requests that this daemon knows, those that it cleared, and its load on each
-/// backend server.
+/// Adds the leaving backend servers and the suspect requests that this daemon knows, those that it
+/// cleared, and its load on each backend server.
 static void
-fill_suspects_and_loads (const TtBoard *board, TtDaemonStatus *status, int64_t now_us)
+fill_findings_and_loads (const TtBoard *board, TtDaemonStatus *status, int64_t now_us)
 {
+  status->notice_count
+      = tt_notice_copy_leaving (board, status->notices, TT_PEER_MAX_NOTICES, now_us);
   status->suspect_count
       = tt_poison_copy_cleared (board, status->suspects, TT_PEER_MAX_SUSPECTS, now_us);
   TT_LIST_FOREACH (&board->poison.suspects, it)
@@ -213,7 +216,7 @@
   if (message == NULL)
     return NULL;
   tt_fleet_fill_identity (board, &message->status);
-  fill_suspects_and_loads (board, &message->status, now_us);
+  fill_findings_and_loads (board, &message->status, now_us);
   return message;
 }
 
--- a/src/tarragontrack/control/prefix_table.c
+++ b/src/tarragontrack/control/prefix_table.c
@@ -34,7 +34,7 @@
 {
   TtBackendServer *backend = tt_backend_find (board, entry->backend_id);
 
-  return backend != NULL && backend->roster.state == TT_BACKEND_LIVE ? backend : NULL;
+  return backend != NULL && tt_backend_accepts (backend) ? backend : NULL;
 }
 
 TtBackendServer *
@@ -54,7 +54,7 @@
   const TtPrefixTableEntry *entry = find_entry (&board->dispatch, key);
   TtBackendServer *backend = entry->key == key ? tt_backend_find (board, entry->backend_id) : NULL;
 
-  return backend != NULL && backend->roster.state != TT_BACKEND_GONE
+  return backend != NULL && tt_backend_accepts (backend)
                  && backend->breaker.state == TT_BREAKER_CLOSED
              ? backend
              : NULL;
--- a/src/tarragontrack/control/prefix_table.h
+++ b/src/tarragontrack/control/prefix_table.h
@@ -11,8 +11,8 @@
 /// requests.
 TtBackendServer *tt_prefix_table_find (TtBoard *board, uint64_t key, int64_t now_us);
 
-/// Engine whose memory may still hold the prompt prefix, including an engine that is leaving; NULL
-/// if none is known or its circuit breaker is not closed.
+/// Engine whose memory may hold the prompt prefix; NULL if none is known, it accepts no requests or
+/// its circuit breaker is not closed.
 TtBackendServer *tt_prefix_table_copy_source (TtBoard *board, uint64_t key);
 
 /// Records that an engine caches the prompt prefix from now on.
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/notice.h"
 #include <stdio.h>
 #include <string.h>
 
@@ -103,8 +104,27 @@
       backend->service_id = pool->id;
       tt_list_append (&pool->backends, &backend->pool_link);
     }
-  set_state (board, backend, entry->server.leaving ? TT_BACKEND_LEAVING : TT_BACKEND_LIVE,
-             from_peer ? "copy" : "entry", now_us);
+  if (entry->server.leaving)
+    set_state (board, backend, TT_BACKEND_LEAVING, from_peer ? "copy" : "entry", now_us);
+  else if (tt_notice_is_leaving (board, id, entry->server.process_start_ms))
+    set_state (board, backend, TT_BACKEND_LEAVING, "answer", now_us);
+  else
+    set_state (board, backend, TT_BACKEND_LIVE, from_peer ? "copy" : "entry", now_us);
+}
+
+/// Marks the backend servers as leaving whose current process said so in a response.
+static void
+apply_notices (TtBoard *board, int64_t now_us)
+{
+  board->notice.leaving_changed = false;
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+      if (backend->roster.state == TT_BACKEND_LIVE
+          && tt_notice_is_leaving (board, backend->id, backend->registry.process_start_ms))
+        set_state (board, backend, TT_BACKEND_LEAVING, "answer", now_us);
+    }
 }
 
 /// Part of the settling time after the last failed call of which SETTLE_MARGIN_US is left out.
@@ -230,6 +250,8 @@
 run (void *context, TtBoard *board, int64_t now_us)
 {
   (void) context;
+  if (board->notice.leaving_changed)
+    apply_notices (board, now_us);
   TT_LIST_FOREACH (&board->backends.all, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
--- a/src/tarragontrack/control/retry_after.c
+++ b/src/tarragontrack/control/retry_after.c
@@ -56,7 +56,7 @@
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
       int64_t available_us;
 
-      if (backend->roster.state != TT_BACKEND_LIVE)
+      if (!tt_backend_accepts (backend))
         continue;
       available_us = backend_available_us (board, backend, now_us);
       if (available_us < earliest_us)
@@ -88,7 +88,7 @@
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
       uint32_t load = tt_dispatch_estimate_load (backend, now_us);
 
-      if (backend->roster.state != TT_BACKEND_LIVE || backend->breaker.state == TT_BREAKER_OPEN)
+      if (!tt_backend_accepts (backend) || backend->breaker.state == TT_BREAKER_OPEN)
         continue;
       slots += backend->registry.slots;
       if (load > backend->registry.slots)
--- a/src/tarragontrack/io/backend_control.c
+++ b/src/tarragontrack/io/backend_control.c
@@ -288,7 +288,8 @@
       TtBackendLoadPoll *load_poll = &client->load_polls[backend - board->backends.backend_records];
 
       if (backend->pool == NULL || backend->pool->spec.type != TT_SERVICE_MODEL
-          || backend->domain_id != board->domain_id || backend->roster.state == TT_BACKEND_GONE)
+          || backend->domain_id != board->domain_id || backend->roster.state == TT_BACKEND_LEAVING
+          || backend->roster.state == TT_BACKEND_GONE)
         continue;
       if (load_poll->backend_id != backend->id)
         *load_poll
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -33,6 +33,7 @@
   event.attempt.status = attempt->status;
   event.attempt.last_event_id = attempt->scan.last_event_id;
   event.attempt.load = attempt->response_info.load;
+  event.attempt.leaving = attempt->response_info.leaving;
   client->front.post (client->front.context, &event);
   return tt_backend_attempt_find (client, id) == attempt;
 }
@@ -133,7 +134,7 @@
     abort_attempt (attempt, code, reason);
   else if (!store_relayed_headers (attempt, call))
     abort_attempt (attempt, TT_E_NO_MEMORY, "headers");
-  else if (attempt->response_info.load.known)
+  else if (attempt->response_info.load.known || attempt->response_info.leaving)
     (void) post_progress (attempt, 0, false);
 }
 
@@ -242,6 +243,7 @@
   event.attempt.retry_after_ms = attempt->response_info.retry_after_ms;
   event.attempt.last_event_id = attempt->scan.last_event_id;
   event.attempt.load = attempt->response_info.load;
+  event.attempt.leaving = attempt->response_info.leaving;
   if (!attempt->event_stream && !attempt->buffer_exceeded)
     {
       event.attempt.body = attempt->size > 0 ? attempt->buffer : "";
--- a/src/tarragontrack/io/dialect_defs.h
+++ b/src/tarragontrack/io/dialect_defs.h
@@ -58,6 +58,7 @@
   uint32_t resume_from;    ///< in: tokens that the caller has already received
   bool event_stream;       ///< the response is an event stream, relayed as it arrives
   bool not_executed;       ///< the backend server did not execute the request
+  bool leaving;            ///< the backend server says that it leaves
   uint32_t retry_after_ms; ///< 0 = absent
   TtLoadSample load;
 } TtResponseInfo;
--- a/src/tarragontrack/platform/dialect.c
+++ b/src/tarragontrack/platform/dialect.c
@@ -222,6 +222,7 @@
   const char *echoed = find (source, TT_WIRE_REQUEST_ID);
   const char *type = find (source, "content-type");
   const char *retry_after = find (source, TT_WIRE_RETRY_AFTER);
+  const char *leaving = find (source, TT_WIRE_LEAVING);
   bool success = info->status >= 200 && info->status < 300;
 
   (void) context, (void) token;
@@ -238,6 +239,7 @@
   info->event_stream = success && info->stream_requested && type != NULL
                        && strncasecmp (type, "text/event-stream", 17) == 0;
   // Status 421 (Misdirected Request) also means that the request was not executed.
+  info->leaving = leaving != NULL && strcmp (leaving, "0") != 0;
   info->not_executed = find (source, TT_WIRE_NOT_EXECUTED) != NULL || info->status == 421;
   info->retry_after_ms = retry_after != NULL ? (uint32_t) (strtod (retry_after, NULL) * 1000.0) : 0;
   parse_load (find (source, TT_WIRE_LOAD), &info->load);
--- a/src/tarragontrack/platform/names.h
+++ b/src/tarragontrack/platform/names.h
@@ -28,6 +28,8 @@
 #define TT_WIRE_NOT_EXECUTED "not-executed"
 /// Running requests, waiting requests, slots, pace in hundredths. Only the first two are used.
 #define TT_WIRE_LOAD "instance-load"
+/// "1" in all responses of a backend server that leaves.
+#define TT_WIRE_LEAVING "server-leaving"
 #define TT_WIRE_RETRY_AFTER "retry-after" ///< seconds, may have a fraction
 
 // Object kinds of the store. Only "daemons" is written by this system.
--- a/test/codec/peer_test.c
+++ b/test/codec/peer_test.c
@@ -356,6 +356,8 @@
   message.status.servers_revision = UINT64_MAX;
   message.status.load_count = TT_MAX_STATUS_LOADS;
   message.status.loads[TT_MAX_STATUS_LOADS - 1] = (TtStatusLoad){ 9, 12, true };
+  message.status.notice_count = TT_PEER_MAX_NOTICES;
+  message.status.notices[TT_PEER_MAX_NOTICES - 1] = (TtPeerNotice){ 11, 12 };
   message.status.prefix_holder_count = TT_MAX_STATUS_HOLDERS;
   message.status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1] = (TtStatusPrefixHolder){ 5, 6 };
   message.status.suspect_count = 1;
@@ -369,6 +371,9 @@
   CU_ASSERT (decoded->status.loads[TT_MAX_STATUS_LOADS - 1].backend_id == 9
              && decoded->status.loads[TT_MAX_STATUS_LOADS - 1].running == 12
              && decoded->status.loads[TT_MAX_STATUS_LOADS - 1].avoiding == 1);
+  UNIT_REQUIRE (decoded->status.notice_count == TT_PEER_MAX_NOTICES);
+  CU_ASSERT (decoded->status.notices[TT_PEER_MAX_NOTICES - 1].backend_id == 11
+             && decoded->status.notices[TT_PEER_MAX_NOTICES - 1].process_start_ms == 12);
   UNIT_REQUIRE (decoded->status.prefix_holder_count == TT_MAX_STATUS_HOLDERS);
   CU_ASSERT (decoded->status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1].key == 5
              && decoded->status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1].backend_id == 6);
--- a/test/control/dispatch_test.c
+++ b/test/control/dispatch_test.c
@@ -195,24 +195,34 @@
   routed_board_close (&routed);
 }
 
-/// Guards against a second prefill of a prompt prefix whose KV cache another engine could transfer.
-static void
-source_of_prefix_is_set (void)
+/// Sends a stream with a given prompt prefix, which must not be placed on @home. RETURN the engine
+/// from which the prefix is copied.
+static uint64_t
+copy_source_off_home (uint64_t home)
 {
+  uint64_t id = routed_board_send_request (&routed, "/s/y", 7, 6000);
   const TtRequest *request;
-  uint64_t id;
-  uint64_t home;
 
-  open_engines ();
-  (void) routed_board_send_request (&routed, "/s/x", 7, 6000);
-  home = next_attempt ().backend_id;
-  routed_board_change_server (&routed, tt_backend_find (routed.board, home)->name,
-                              ROUTED_ENGINE_SERVICE, true, false, 1);
-  id = routed_board_send_request (&routed, "/s/y", 7, 6000);
   CU_ASSERT_NOT_EQUAL (next_attempt ().backend_id, home);
   request = tt_request_find (routed.board, id);
   UNIT_REQUIRE (request != NULL);
-  CU_ASSERT_EQUAL (request->dispatch.prefix_source_id, home);
+  return request->dispatch.prefix_source_id;
+}
+
+/// Guards against a second prefill of a prompt prefix whose KV cache another engine could transfer,
+/// and against a transfer from an engine that wants no more work because it leaves (DRAIN).
+static void
+source_of_prefix_is_set (void)
+{
+  TtBackendServer *home;
+
+  open_engines ();
+  (void) routed_board_send_request (&routed, "/s/x", 7, 6000);
+  home = tt_backend_find (routed.board, next_attempt ().backend_id);
+  home->fleet.peer_requests = 100; // above the load limit
+  CU_ASSERT_EQUAL (copy_source_off_home (home->id), home->id);
+  routed_board_change_server (&routed, home->name, ROUTED_ENGINE_SERVICE, true, false, 1);
+  CU_ASSERT_NOT_EQUAL (copy_source_off_home (home->id), home->id);
   routed_board_close (&routed);
 }
 
--- a/test/control/prefix_table_test.c
+++ b/test/control/prefix_table_test.c
@@ -50,16 +50,17 @@
   routed_board_close (&routed);
 }
 
-/// Guards against routing a prompt to an engine that is leaving, and against losing that engine as
-/// the source from which the prefix can be copied.
+/// Guards against routing a prompt to an engine that is leaving, and against a copy of the prefix
+/// that is taken from it while it exits.
 static void
-leaving_engine_is_source_only (void)
+leaving_engine_is_no_source (void)
 {
   open_with_three_engines ();
   tt_prefix_table_set (routed.board, KEY, find_engine ("e1"), routed.now_us);
+  CU_ASSERT_PTR_EQUAL (tt_prefix_table_copy_source (routed.board, KEY), find_engine ("e1"));
   routed_board_change_server (&routed, "e1", ROUTED_ENGINE_SERVICE, true, false, 1);
   CU_ASSERT_PTR_NULL (tt_prefix_table_find (routed.board, KEY, routed.now_us));
-  CU_ASSERT_PTR_EQUAL (tt_prefix_table_copy_source (routed.board, KEY), find_engine ("e1"));
+  CU_ASSERT_PTR_NULL (tt_prefix_table_copy_source (routed.board, KEY));
   routed_board_close (&routed);
 }
 
@@ -81,7 +82,7 @@
 
 static const UnitTest tests[] = {
   { "concurrent_changes_converge", concurrent_changes_converge },
-  { "leaving_engine_is_source_only", leaving_engine_is_source_only },
+  { "leaving_engine_is_no_source", leaving_engine_is_no_source },
   { "change_advertised_once", change_advertised_once },
 };
 
--- a/test/platform/dialect_test.c
+++ b/test/platform/dialect_test.c
@@ -176,11 +176,42 @@
   CU_ASSERT (info.not_executed);
 }
 
+/// Guards against passing on a response that says that its backend server leaves, without noticing
+/// it (DRAIN). Each kind of response says so, and the header is relayed.
+static void
+test_parse_leaving (void)
+{
+  static const unsigned statuses[] = { 200, 404, 500, 503 };
+  TtDialect dialect = tt_platform_dialect ();
+  TtCallerCall call = make_call ();
+  const char *reason = NULL;
+  TtId128 token = { 0, 0 };
+
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      TtResponseInfo info = { .status = statuses[i] };
+      HeaderSet response = { .count = 0 };
+
+      add_header (&response, "response-signature", "3e1b");
+      CU_ASSERT_EQUAL (
+          dialect.parse_response_head (NULL, &call, token, find_header, &response, &info, &reason),
+          TT_OK);
+      CU_ASSERT_FALSE (info.leaving);
+      add_header (&response, "server-leaving", "1");
+      CU_ASSERT_EQUAL (
+          dialect.parse_response_head (NULL, &call, token, find_header, &response, &info, &reason),
+          TT_OK);
+      CU_ASSERT (info.leaving);
+    }
+  CU_ASSERT (dialect.relays_header (NULL, "server-leaving"));
+}
+
 static const UnitTest tests[] = {
   { "parse_request", test_parse_request },
   { "write_attempt_headers", test_write_attempt_headers },
   { "parse_response_head", test_parse_response_head },
   { "parse_not_executed", test_parse_not_executed },
+  { "parse_leaving", test_parse_leaving },
 };
 
 UNIT_MAIN ("dialect", tests)
