--- a/src/tarragontrack/board/backend.c
+++ b/src/tarragontrack/board/backend.c
@@ -40,9 +40,9 @@
 }
 
 bool
-tt_backend_accepts (const TtBackendServer *backend)
+tt_backend_accepts (const TtBackendServer *backend, int64_t now_us)
 {
-  return backend->roster.state == TT_BACKEND_LIVE;
+  return backend->roster.state == TT_BACKEND_LIVE && now_us >= backend->notice.unavailable_until_us;
 }
 
 TtBackendServer *
--- a/src/tarragontrack/board/backend.h
+++ b/src/tarragontrack/board/backend.h
@@ -16,7 +16,7 @@
 
 /// True if the backend server may be sent requests or calls. All of them go through this check,
 /// whatever path leads to them: tt_attempt_new() opens no attempt without it.
-bool tt_backend_accepts (const TtBackendServer *backend);
+bool tt_backend_accepts (const TtBackendServer *backend, int64_t now_us);
 
 /// Allocates a backend server record; NULL if TT_MAX_BACKENDS are in use.
 TtBackendServer *tt_backend_new (TtBoard *board, uint64_t id);
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -54,6 +54,7 @@
   TtShareBackend share;
   TtPlaceBackend place;
   TtOrderBackend order;
+  TtNoticeBackend notice;
   TtRegistryBackend registry;
   TtFleetBackend fleet;
   TtBreakerBackend breaker;
--- a/src/tarragontrack/board/counter_defs.h
+++ b/src/tarragontrack/board/counter_defs.h
@@ -27,6 +27,8 @@
   X (BLOCKED, "tarragontrack_requests_blocked_total", "requests stopped after crashes")            \
   X (LEAVING_NOTICES, "tarragontrack_backend_leaving_notices_total",                               \
      "backend servers that said in a response that they leave")                                    \
+  X (UNAVAILABLE_NOTICES, "tarragontrack_backend_unavailable_notices_total",                       \
+     "times that a backend server rejected a request and named a time to leave it alone")          \
   X (CLAIMS, "tarragontrack_claims_total", "claims owned")                                         \
   X (CLAIM_WRITES, "tarragontrack_claim_writes_total", "conditional updates of claim shards")      \
   X (PLATFORM_CALLS, "tarragontrack_platform_calls_total", "calls to the platform")                \
--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -47,7 +47,7 @@
   bool exceeds_buffer; ///< PROGRESS: a plain response exceeds the buffer; it is relayed in parts
   bool not_executed;   ///< DONE: the backend server reported that it did not run the request
   bool leaving;        ///< PROGRESS, DONE: the backend server says that it leaves
-  uint32_t retry_after_ms; ///< DONE: retry delay requested by the backend server; 0 = not reported
+  uint32_t unavailable_ms; ///< PROGRESS, DONE: time for which the backend server wants no requests
   uint32_t last_event_id;  ///< id of the last complete event; 0 = none
   TtLoadSample load;       ///< load from the response headers
 } TtAttemptEvent;
--- a/src/tarragontrack/board/fleet_defs.h
+++ b/src/tarragontrack/board/fleet_defs.h
@@ -20,7 +20,7 @@
 {
   uint64_t backend_id;
   uint32_t running;  ///< requests that they run on it
-  uint32_t avoiding; ///< number of them whose circuit breaker for it is open
+  uint32_t avoiding; ///< number of them whose circuit breaker for it is open, or that it rejects
 } TtStatusLoad;
 
 /// Loads that a status message or a collector reported.
@@ -97,7 +97,7 @@
 typedef struct
 {
   uint32_t peer_requests;   ///< requests that other daemons run on the backend server
-  uint32_t peers_avoiding;  ///< other daemons whose circuit breaker for the backend server is open
+  uint32_t peers_avoiding;  ///< other daemons that avoid the backend server; see TtStatusLoad
   uint32_t domain_requests; ///< part of peer_requests that daemons of this failure domain reported
   uint32_t domain_avoiding; ///< part of peers_avoiding that daemons of this failure domain reported
 } TtFleetBackend;
--- a/src/tarragontrack/board/notice_defs.h
+++ b/src/tarragontrack/board/notice_defs.h
@@ -28,8 +28,9 @@
   uint64_t backend_id;
   uint64_t process_start_ms;
   bool leaving;
-  bool leaving_seen_here; ///< in a response to this daemon; advertised to the others
-  int64_t noticed_us;     ///< time of the last response or message that stated something
+  bool leaving_seen_here;       ///< in a response to this daemon; advertised to the others
+  int64_t unavailable_until_us; ///< end of the longest time that a rejection named; 0 = none
+  int64_t noticed_us;           ///< time of the last response or message that stated something
 } TtNotice;
 
 typedef struct
@@ -42,3 +43,8 @@
   bool unadvertised;         ///< a process that was seen leaving here is to be advertised at once
   int64_t next_advertise_us; ///< earliest time of the next immediate status message
 } TtNoticeSection;
+
+typedef struct
+{
+  int64_t unavailable_until_us; ///< TtNotice.unavailable_until_us of the current process
+} TtNoticeBackend;
--- a/src/tarragontrack/board/recovery_defs.h
+++ b/src/tarragontrack/board/recovery_defs.h
@@ -17,7 +17,6 @@
                                       ///< the oldest
   uint32_t tried_count; ///< entries added so far; may exceed the size of TtRecoveryRequest.tried;
                         ///< reset when TtDispatchRequest.second_round is set
-  uint32_t max_retry_after_ms; ///< highest Retry-After that a backend server sent with a rejection
 } TtRecoveryRequest;
 
 typedef struct
--- a/src/tarragontrack/board/request.c
+++ b/src/tarragontrack/board/request.c
@@ -117,7 +117,7 @@
   TtAttempt *attempt;
   TtAction *action;
 
-  if (!tt_backend_accepts (backend))
+  if (!tt_backend_accepts (backend, now_us))
     return NULL;
   link = tt_list_pop (&board->requests.free_attempts);
   if (link == NULL)
--- a/src/tarragontrack/control/dispatch.c
+++ b/src/tarragontrack/control/dispatch.c
@@ -86,7 +86,7 @@
 is_eligible (const TtBoard *board, const TtRequest *request, const TtBackendServer *backend,
              int64_t now_us)
 {
-  return tt_backend_accepts (backend) && tt_breaker_allows (board, backend, now_us)
+  return tt_backend_accepts (backend, now_us) && tt_breaker_allows (board, backend, now_us)
          && !was_tried (request, backend);
 }
 
@@ -101,7 +101,7 @@
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
 
-      if (!tt_backend_accepts (backend) || !tt_breaker_allows_last_resort (backend)
+      if (!tt_backend_accepts (backend, now_us) || !tt_breaker_allows_last_resort (backend)
           || was_tried (request, backend))
         continue;
       if (best == NULL
@@ -188,12 +188,13 @@
 /// the whole prefix, or else the holder of its first part. Copying the KV cache costs less than a
 /// new prefill. No source is set if the chosen engine is the holder itself.
 static void
-set_prefix_source (TtBoard *board, TtRequest *request, uint64_t key, const TtBackendServer *backend)
+set_prefix_source (TtBoard *board, TtRequest *request, uint64_t key, const TtBackendServer *backend,
+                   int64_t now_us)
 {
-  const TtBackendServer *source = tt_prefix_table_copy_source (board, key);
+  const TtBackendServer *source = tt_prefix_table_copy_source (board, key, now_us);
 
   if (source == NULL && request->spec.first_part_key != 0)
-    source = tt_prefix_table_copy_source (board, request->spec.first_part_key);
+    source = tt_prefix_table_copy_source (board, request->spec.first_part_key, now_us);
   if (source != NULL && source != backend && source->pool == request->pool)
     request->dispatch.prefix_source_id = source->id;
 }
@@ -224,7 +225,7 @@
   request->place.reason = holder == NULL ? TT_PLACE_HOME : TT_PLACE_OVERFLOW;
   if (backend == NULL)
     return NULL;
-  set_prefix_source (board, request, key, backend);
+  set_prefix_source (board, request, key, backend, now_us);
   if (holder == NULL)
     tt_prefix_table_set (board, key, backend, now_us);
   if (request->spec.first_part_key != 0
--- a/src/tarragontrack/control/fleet.c
+++ b/src/tarragontrack/control/fleet.c
@@ -196,7 +196,10 @@
   TT_LIST_FOREACH (&board->backends.all, it)
     {
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
-      uint32_t avoiding = backend->breaker.state == TT_BREAKER_OPEN ? 1 : 0;
+      uint32_t avoiding = backend->breaker.state == TT_BREAKER_OPEN
+                                  || now_us < backend->notice.unavailable_until_us
+                              ? 1
+                              : 0;
 
       if ((backend->attempts.count == 0 && avoiding == 0)
           || status->load_count == TT_MAX_STATUS_LOADS)
--- a/src/tarragontrack/control/notice.c
+++ b/src/tarragontrack/control/notice.c
@@ -67,6 +67,15 @@
   return notice != NULL && notice->leaving;
 }
 
+int64_t
+tt_notice_unavailable_until_us (const TtBoard *board, uint64_t backend_id,
+                                uint64_t process_start_ms)
+{
+  const TtNotice *notice = find_notice (board, backend_id, process_start_ms);
+
+  return notice != NULL ? notice->unavailable_until_us : 0;
+}
+
 uint32_t
 tt_notice_copy_leaving (const TtBoard *board, TtPeerNotice *entries, uint32_t max, int64_t now_us)
 {
@@ -149,6 +158,31 @@
   notice->leaving_seen_here = notice->leaving_seen_here || seen_here;
 }
 
+/// Records a rejection that names the time for which a process wants no requests. A shorter time
+/// that is named later does not end an earlier one.
+static void
+record_unavailable (TtBoard *board, const TtAttempt *attempt, uint32_t unavailable_ms,
+                    int64_t now_us)
+{
+  TtBackendServer *backend = attempt->backend;
+  TtNotice *notice = touch_notice (board, backend->id, attempt->process_start_ms, now_us);
+  int64_t until_us = now_us + unavailable_ms * TT_MILLISECOND_US;
+
+  if (until_us <= notice->unavailable_until_us)
+    return;
+  if (notice->unavailable_until_us <= now_us)
+    {
+      tt_board_counter_add (board, TT_COUNT_UNAVAILABLE_NOTICES, 1);
+      tt_board_log (board, TT_LOG_BACKEND_UNAVAILABLE,
+                    "backend=%s process=%llu request=%s for_ms=%u open=%u", backend->name,
+                    (unsigned long long) attempt->process_start_ms,
+                    attempt->request->spec.external_id, unavailable_ms, backend->attempts.count);
+    }
+  notice->unavailable_until_us = until_us;
+  if (backend->registry.process_start_ms == attempt->process_start_ms)
+    backend->notice.unavailable_until_us = until_us;
+}
+
 /// Records what the head of a response says about the process that an attempt was sent to.
 static void
 record_response (TtBoard *board, const TtAttempt *attempt, const TtAttemptEvent *event,
@@ -159,6 +193,8 @@
   if (event->leaving)
     record_leaving (board, backend->id, attempt->process_start_ms,
                     attempt->request->spec.external_id, now_us);
+  if (event->unavailable_ms > 0)
+    record_unavailable (board, attempt, event->unavailable_ms, now_us);
 }
 
 static void
--- a/src/tarragontrack/control/prefix_table.c
+++ b/src/tarragontrack/control/prefix_table.c
@@ -34,7 +34,7 @@
 {
   TtBackendServer *backend = tt_backend_find (board, entry->backend_id);
 
-  return backend != NULL && tt_backend_accepts (backend) ? backend : NULL;
+  return backend != NULL && backend->roster.state == TT_BACKEND_LIVE ? backend : NULL;
 }
 
 TtBackendServer *
@@ -49,12 +49,12 @@
 }
 
 TtBackendServer *
-tt_prefix_table_copy_source (TtBoard *board, uint64_t key)
+tt_prefix_table_copy_source (TtBoard *board, uint64_t key, int64_t now_us)
 {
   const TtPrefixTableEntry *entry = find_entry (&board->dispatch, key);
   TtBackendServer *backend = entry->key == key ? tt_backend_find (board, entry->backend_id) : NULL;
 
-  return backend != NULL && tt_backend_accepts (backend)
+  return backend != NULL && tt_backend_accepts (backend, now_us)
                  && backend->breaker.state == TT_BREAKER_CLOSED
              ? backend
              : NULL;
--- a/src/tarragontrack/control/prefix_table.h
+++ b/src/tarragontrack/control/prefix_table.h
@@ -13,7 +13,7 @@
 
 /// Engine whose memory may hold the prompt prefix; NULL if none is known, it accepts no requests or
 /// its circuit breaker is not closed.
-TtBackendServer *tt_prefix_table_copy_source (TtBoard *board, uint64_t key);
+TtBackendServer *tt_prefix_table_copy_source (TtBoard *board, uint64_t key, int64_t now_us);
 
 /// Records that an engine caches the prompt prefix from now on.
 void tt_prefix_table_set (TtBoard *board, uint64_t key, const TtBackendServer *backend,
--- a/src/tarragontrack/control/recovery.c
+++ b/src/tarragontrack/control/recovery.c
@@ -49,8 +49,6 @@
                        TT_STEP_RECEIVE, request->spec.service, "%s", reason);
   if (outcome == TT_OUTCOME_NOT_RUN)
     retry_ms = tt_retry_after_pool_ms (board, request->pool, request->priority, now_us);
-  if (retry_ms > 0 && request->recovery.max_retry_after_ms > retry_ms)
-    retry_ms = request->recovery.max_retry_after_ms;
   (void) tt_request_finish (board, request, outcome, status, retry_ms, &error);
 }
 
@@ -213,8 +211,6 @@
     {
       if (request->recovery.runs > 0)
         request->recovery.runs--;
-      if (event->retry_after_ms > request->recovery.max_retry_after_ms)
-        request->recovery.max_retry_after_ms = event->retry_after_ms;
       tt_attempt_close (board, attempt);
       retry_or_finish (board, request, true, false, "the backend server did not run it", now_us);
       return;
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -92,6 +92,8 @@
   backend->port = entry->server.port;
   backend->domain_id = entry->server.domain_id;
   backend->registry.process_start_ms = entry->server.process_start_ms;
+  backend->notice.unavailable_until_us
+      = tt_notice_unavailable_until_us (board, id, entry->server.process_start_ms);
   backend->registry.revision = entry->revision;
   backend->registry.slots = entry->server.slots;
   backend->registry.missing_since_us = 0;
--- a/src/tarragontrack/control/retry_after.c
+++ b/src/tarragontrack/control/retry_after.c
@@ -31,9 +31,9 @@
         += SERVICE_TIME_GAIN * ((double) duration_us - returns->mean_service_us);
 }
 
-/// Earliest time at which a live backend server may take a request.
+/// Earliest time at which the circuit breaker of a live backend server admits a request.
 static int64_t
-backend_available_us (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+breaker_available_us (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
 {
   if (tt_breaker_allows (board, backend, now_us))
     return now_us;
@@ -46,6 +46,16 @@
                 : TT_FLEET_PERIOD_US);
 }
 
+/// Earliest time at which a live backend server may take a request.
+static int64_t
+backend_available_us (const TtBoard *board, const TtBackendServer *backend, int64_t now_us)
+{
+  int64_t breaker_us = breaker_available_us (board, backend, now_us);
+
+  return backend->notice.unavailable_until_us > breaker_us ? backend->notice.unavailable_until_us
+                                                           : breaker_us;
+}
+
 int64_t
 tt_retry_after_available_us (const TtBoard *board, const TtPool *pool, int64_t now_us)
 {
@@ -56,7 +66,7 @@
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
       int64_t available_us;
 
-      if (!tt_backend_accepts (backend))
+      if (backend->roster.state != TT_BACKEND_LIVE)
         continue;
       available_us = backend_available_us (board, backend, now_us);
       if (available_us < earliest_us)
@@ -88,7 +98,7 @@
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, pool_link);
       uint32_t load = tt_dispatch_estimate_load (backend, now_us);
 
-      if (!tt_backend_accepts (backend) || backend->breaker.state == TT_BREAKER_OPEN)
+      if (!tt_backend_accepts (backend, now_us) || backend->breaker.state == TT_BREAKER_OPEN)
         continue;
       slots += backend->registry.slots;
       if (load > backend->registry.slots)
--- a/src/tarragontrack/control/slot.c
+++ b/src/tarragontrack/control/slot.c
@@ -16,7 +16,7 @@
 bool
 tt_slot_is_usable (const TtBackendServer *backend)
 {
-  return tt_backend_accepts (backend) && !backend->health.ejected;
+  return backend->roster.state == TT_BACKEND_LIVE && !backend->health.ejected;
 }
 
 uint32_t
--- a/src/tarragontrack/io/backend_control.c
+++ b/src/tarragontrack/io/backend_control.c
@@ -289,7 +289,8 @@
 
       if (backend->pool == NULL || backend->pool->spec.type != TT_SERVICE_MODEL
           || backend->domain_id != board->domain_id || backend->roster.state == TT_BACKEND_LEAVING
-          || backend->roster.state == TT_BACKEND_GONE)
+          || backend->roster.state == TT_BACKEND_GONE
+          || now_us < backend->notice.unavailable_until_us)
         continue;
       if (load_poll->backend_id != backend->id)
         *load_poll
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -34,6 +34,7 @@
   event.attempt.last_event_id = attempt->scan.last_event_id;
   event.attempt.load = attempt->response_info.load;
   event.attempt.leaving = attempt->response_info.leaving;
+  event.attempt.unavailable_ms = attempt->response_info.unavailable_ms;
   client->front.post (client->front.context, &event);
   return tt_backend_attempt_find (client, id) == attempt;
 }
@@ -134,7 +135,8 @@
     abort_attempt (attempt, code, reason);
   else if (!store_relayed_headers (attempt, call))
     abort_attempt (attempt, TT_E_NO_MEMORY, "headers");
-  else if (attempt->response_info.load.known || attempt->response_info.leaving)
+  else if (attempt->response_info.load.known || attempt->response_info.leaving
+           || attempt->response_info.unavailable_ms > 0)
     (void) post_progress (attempt, 0, false);
 }
 
@@ -240,10 +242,10 @@
   event.attempt.cached_tokens = attempt->scan.cached_tokens;
   event.attempt.prompt_tokens = attempt->scan.prompt_tokens;
   event.attempt.not_executed = attempt->response_info.not_executed;
-  event.attempt.retry_after_ms = attempt->response_info.retry_after_ms;
   event.attempt.last_event_id = attempt->scan.last_event_id;
   event.attempt.load = attempt->response_info.load;
   event.attempt.leaving = attempt->response_info.leaving;
+  event.attempt.unavailable_ms = attempt->response_info.unavailable_ms;
   if (!attempt->event_stream && !attempt->buffer_exceeded)
     {
       event.attempt.body = attempt->size > 0 ? attempt->buffer : "";
--- a/src/tarragontrack/io/dialect_defs.h
+++ b/src/tarragontrack/io/dialect_defs.h
@@ -59,7 +59,8 @@
   bool event_stream;       ///< the response is an event stream, relayed as it arrives
   bool not_executed;       ///< the backend server did not execute the request
   bool leaving;            ///< the backend server says that it leaves
-  uint32_t retry_after_ms; ///< 0 = absent
+  uint32_t unavailable_ms; ///< time for which the backend server wants no requests from this
+                           ///< daemon; 0 = not stated
   TtLoadSample load;
 } TtResponseInfo;
 
--- a/src/tarragontrack/platform/dialect.c
+++ b/src/tarragontrack/platform/dialect.c
@@ -5,6 +5,7 @@
 #include "tarragontrack/io/header.h"
 #include "tarragontrack/platform/event_stream.h"
 #include "tarragontrack/platform/names.h"
+#include "tarragontrack/platform/number.h"
 #include "tarragontrack/platform/table.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,8 +14,10 @@
 
 enum
 {
+  STATUS_UNAVAILABLE = 503,
   MAX_URGENCY = 9, ///< largest value of TT_WIRE_URGENCY
-  NUMBER_TEXT_BYTES = 24
+  NUMBER_TEXT_BYTES = 24,
+  MAX_LOAD = 1000000 ///< requests; a TT_WIRE_LOAD above it is ignored
 };
 
 /// Hop-by-hop headers, and headers that are set separately for each HTTP message. They are neither
@@ -64,7 +67,7 @@
       spec->shared_tokens = tokens;
       key = tt_hash_pair (key, tt_hash_bytes (text, id_length));
       if (colon != NULL)
-        tokens += (uint32_t) strtoul (colon + 1, NULL, 10);
+        tokens += tt_number_parse_u32 (colon + 1, NULL);
       text += length + (text[length] == ',' ? 1 : 0);
     }
   spec->chat_key = key;
@@ -74,11 +77,11 @@
 static void
 parse_token_counts (const char *text, TtRequestSpec *spec)
 {
-  char *end;
+  const char *end;
 
-  spec->prompt_tokens = (uint32_t) strtoul (text, &end, 10);
+  spec->prompt_tokens = tt_number_parse_u32 (text, &end);
   if (*end == ',')
-    spec->max_tokens = (uint32_t) strtoul (end + 1, NULL, 10);
+    spec->max_tokens = tt_number_parse_u32 (end + 1, NULL);
 }
 
 static int
@@ -107,8 +110,8 @@
     parse_prompt_parts (parts, spec);
   if (token_counts != NULL)
     parse_token_counts (token_counts, spec);
-  spec->response_timeout_ms = remaining != NULL ? (uint32_t) strtoul (remaining, NULL, 10) : 0;
-  spec->last_event_id = last_event_id != NULL ? (uint32_t) strtoul (last_event_id, NULL, 10) : 0;
+  spec->response_timeout_ms = remaining != NULL ? tt_number_parse_u32 (remaining, NULL) : 0;
+  spec->last_event_id = last_event_id != NULL ? tt_number_parse_u32 (last_event_id, NULL) : 0;
   if (id != NULL)
     (void) snprintf (spec->external_id, sizeof spec->external_id, "%s", id);
   spec->body_hash
@@ -206,10 +209,18 @@
 static void
 parse_load (const char *text, TtLoadSample *load)
 {
-  unsigned running;
-  unsigned waiting;
+  const char *at = text;
+  uint32_t running;
+  uint32_t waiting;
 
-  if (text == NULL || sscanf (text, "%u,%u,", &running, &waiting) < 2)
+  if (text == NULL)
+    return;
+  running = tt_number_parse_u32 (text, &at);
+  if (at == text || *at != ',')
+    return;
+  text = at + 1;
+  waiting = tt_number_parse_u32 (text, &at);
+  if (at == text || running > MAX_LOAD || waiting > MAX_LOAD)
     return;
   *load = (TtLoadSample){ .known = true, .running = running, .waiting = waiting };
 }
@@ -241,7 +252,9 @@
   // Status 421 (Misdirected Request) also means that the request was not executed.
   info->leaving = leaving != NULL && strcmp (leaving, "0") != 0;
   info->not_executed = find (source, TT_WIRE_NOT_EXECUTED) != NULL || info->status == 421;
-  info->retry_after_ms = retry_after != NULL ? (uint32_t) (strtod (retry_after, NULL) * 1000.0) : 0;
+  info->unavailable_ms = info->status == STATUS_UNAVAILABLE && retry_after != NULL
+                             ? tt_number_parse_seconds (retry_after)
+                             : 0;
   parse_load (find (source, TT_WIRE_LOAD), &info->load);
   return TT_OK;
 }
--- a/test/control/notice_test.c
+++ b/test/control/notice_test.c
@@ -89,7 +89,8 @@
       routed_board_attempt_progress (&routed, attempt_id, 1);
       routed_board_attempt_done (&routed, attempt_id, 200, false);
     }
-  return tt_prefix_table_copy_source (routed.board, PREFIX_KEY) != find_backend ("e1");
+  return tt_prefix_table_copy_source (routed.board, PREFIX_KEY, routed.now_us)
+         != find_backend ("e1");
 }
 
 /// Guards against DRAIN on raagmala-sync-grown: an answer said that its backend server leaves, and
@@ -213,12 +214,129 @@
   routed_board_close (&routed);
 }
 
+/// Steps the board with a rejection that names a time for which the backend server wants nothing.
+static void
+reject_attempt (uint64_t attempt_id, uint32_t unavailable_ms)
+{
+  TtEvent event = { .type = TT_EVENT_ATTEMPT_DONE,
+                    .attempt = { .attempt_id = attempt_id,
+                                 .status = 503,
+                                 .not_executed = true,
+                                 .unavailable_ms = unavailable_ms } };
+
+  routed_board_step (&routed, 1, &event);
+}
+
+/// Opens a board with the engines "e1" and "e2" and lets "e1" reject a request for 2 s.
+static void
+open_with_rejecting_engine (void)
+{
+  uint64_t attempt_id;
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_ENGINE_SERVICE, 2, "e1", "e2");
+  tt_prefix_table_set (routed.board, PREFIX_KEY, find_backend ("e1"), routed.now_us);
+  (void) routed_board_send_request (&routed, "/s/x", PREFIX_KEY, 0);
+  UNIT_REQUIRE (strcmp (next_dispatch (&attempt_id), "e1") == 0);
+  routed_board_attempt_sent (&routed, attempt_id);
+  reject_attempt (attempt_id, 2000);
+  UNIT_REQUIRE (strcmp (next_dispatch (&attempt_id), "e2") == 0); // the retry
+  routed_board_attempt_progress (&routed, attempt_id, 1);
+  routed_board_attempt_done (&routed, attempt_id, 200, false);
+}
+
+/// Guards against BUDGET: a backend server turned a request away with 503 and Retry-After, the time
+/// went to the caller, and the daemon went on sending to it.
+static void
+rejecting_server_is_left_alone (void)
+{
+  uint64_t attempt_id;
+
+  open_with_rejecting_engine ();
+  CU_ASSERT (is_left_alone ());
+  routed_board_list_servers (&routed, ROUTED_ENGINE_SERVICE, 2, "e1", "e2");
+  CU_ASSERT (is_left_alone ());
+  routed_board_change_server (&routed, "e1", ROUTED_ENGINE_SERVICE, false, true, 1);
+  routed_board_advance (&routed, 100);
+  routed_board_change_server (&routed, "e1", ROUTED_ENGINE_SERVICE, false, false, 1);
+  CU_ASSERT (is_left_alone ());
+  routed_board_advance (&routed, 1500);
+  CU_ASSERT (is_left_alone ());
+  routed_board_advance (&routed, 500);
+  tt_prefix_table_set (routed.board, PREFIX_KEY, find_backend ("e1"), routed.now_us);
+  (void) routed_board_send_request (&routed, "/s/x", PREFIX_KEY, 0);
+  CU_ASSERT_STRING_EQUAL (next_dispatch (&attempt_id), "e1");
+  routed_board_close (&routed);
+}
+
+/// Guards against a shorter time that ends a longer one, and against a time that a new process of
+/// the backend server has not named.
+static void
+longest_time_of_process_counts (void)
+{
+  uint64_t attempt_ids[2];
+  int64_t until_us;
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_ENGINE_SERVICE, 1, "e1");
+  for (unsigned i = 0; i < 2; i++)
+    {
+      (void) routed_board_send_request (&routed, "/two/x", PREFIX_KEY, 0);
+      (void) next_dispatch (&attempt_ids[i]);
+      routed_board_attempt_sent (&routed, attempt_ids[i]);
+    }
+  reject_attempt (attempt_ids[0], UINT32_MAX);
+  until_us = find_backend ("e1")->notice.unavailable_until_us;
+  CU_ASSERT_EQUAL (until_us, routed.now_us + UINT32_MAX * TT_MILLISECOND_US);
+  reject_attempt (attempt_ids[1], 100);
+  CU_ASSERT_EQUAL (find_backend ("e1")->notice.unavailable_until_us, until_us);
+  routed_board_change_server (&routed, "e1", ROUTED_ENGINE_SERVICE, false, false, 2);
+  (void) routed_board_send_request (&routed, "/two/x", PREFIX_KEY, 0);
+  CU_ASSERT_STRING_EQUAL (next_dispatch (&attempt_ids[0]), "e1");
+  routed_board_close (&routed);
+}
+
+/// Guards against a request that is sent to the only backend server as a last resort, against one
+/// that waits although the named time is too long, and against a Retry-After before its end.
+static void
+only_server_is_waited_for (void)
+{
+  TtAction reply = { 0 };
+  uint64_t attempt_id;
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  (void) routed_board_send_request (&routed, "/get/x", 0, 600);
+  (void) next_dispatch (&attempt_id);
+  routed_board_attempt_sent (&routed, attempt_id);
+  reject_attempt (attempt_id, 1000);
+  UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_REPLY, &reply));
+  CU_ASSERT_EQUAL (reply.reply.outcome, TT_OUTCOME_NOT_RUN);
+  CU_ASSERT (reply.reply.retry_after_ms >= 990 && reply.reply.retry_after_ms <= 1010);
+  (void) routed_board_send_request (&routed, "/get/x", 0, 600);
+  UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_REPLY, &reply));
+  CU_ASSERT_EQUAL (reply.reply.outcome, TT_OUTCOME_NOT_RUN);
+  (void) routed_board_send_request (&routed, "/get/x", 0, 5000);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_DISPATCH), 0);
+  routed_board_advance (&routed, 900);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_DISPATCH), 0);
+  routed_board_advance (&routed, 150);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_DISPATCH), 1);
+  routed_board_close (&routed);
+}
+
 static const UnitTest tests[] = {
   { "answer_goes_before_lists", answer_goes_before_lists },
   { "notice_outlives_removal", notice_outlives_removal },
   { "new_process_is_used", new_process_is_used },
   { "no_path_skips_the_check", no_path_skips_the_check },
   { "others_are_told", others_are_told },
+  { "rejecting_server_is_left_alone", rejecting_server_is_left_alone },
+  { "longest_time_of_process_counts", longest_time_of_process_counts },
+  { "only_server_is_waited_for", only_server_is_waited_for },
 };
 
 UNIT_MAIN ("notice", tests)
--- a/test/control/prefix_table_test.c
+++ b/test/control/prefix_table_test.c
@@ -57,10 +57,11 @@
 {
   open_with_three_engines ();
   tt_prefix_table_set (routed.board, KEY, find_engine ("e1"), routed.now_us);
-  CU_ASSERT_PTR_EQUAL (tt_prefix_table_copy_source (routed.board, KEY), find_engine ("e1"));
+  CU_ASSERT_PTR_EQUAL (tt_prefix_table_copy_source (routed.board, KEY, routed.now_us),
+                       find_engine ("e1"));
   routed_board_change_server (&routed, "e1", ROUTED_ENGINE_SERVICE, true, false, 1);
   CU_ASSERT_PTR_NULL (tt_prefix_table_find (routed.board, KEY, routed.now_us));
-  CU_ASSERT_PTR_NULL (tt_prefix_table_copy_source (routed.board, KEY));
+  CU_ASSERT_PTR_NULL (tt_prefix_table_copy_source (routed.board, KEY, routed.now_us));
   routed_board_close (&routed);
 }
 
--- a/test/platform/dialect_test.c
+++ b/test/platform/dialect_test.c
@@ -167,7 +167,7 @@
   CU_ASSERT_EQUAL (
       dialect.parse_response_head (NULL, &call, token, find_header, &response, &info, &reason),
       TT_OK);
-  CU_ASSERT (info.not_executed && info.retry_after_ms == 250);
+  CU_ASSERT (info.not_executed && info.unavailable_ms == 250);
   info = (TtResponseInfo){ .status = 421 };
   response.count = 0;
   CU_ASSERT_EQUAL (
