--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -13,6 +13,7 @@
 #include "tarragontrack/board/lease_defs.h"
 #include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/order_section_defs.h"
+#include "tarragontrack/board/quarantine_defs.h"
 #include "tarragontrack/board/reader_defs.h"
 #include "tarragontrack/board/rng.h"
 #include "tarragontrack/board/store_defs.h"
@@ -93,6 +94,7 @@
   TtHealthSection health;
   TtLengthSection length;
   TtPoisonSection poison;
+  TtQuarantineSection quarantine;
   TtAdmitSection admit;
   TtClaimSection claim;
   TtShareSection share;
--- a/src/tarragontrack/board/fleet_defs.h
+++ b/src/tarragontrack/board/fleet_defs.h
@@ -5,6 +5,7 @@
 #include "tarragontrack/board/list.h"
 #include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/poison_defs.h"
+#include "tarragontrack/board/quarantine_defs.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -58,6 +59,8 @@
   TtPeerSuspect suspects[TT_PEER_MAX_SUSPECTS];
   uint32_t notice_count;
   TtPeerNotice notices[TT_PEER_MAX_NOTICES]; ///< leaving backend servers that the sender noticed
+  uint32_t part_count;
+  TtPeerPart parts[TT_PEER_MAX_PARTS]; ///< suspect and cleared parts of prompts
 } TtDaemonStatus;
 
 /// Sums of loads. A collector sends them to the daemons of its failure domain, summed over all
@@ -114,7 +117,9 @@
 {
   TtList daemons; ///< TtDaemon.link; records are allocated one by one, TT_MAX_DAEMONS at most
   int64_t next_status_us;
-  int64_t next_loads_us; ///< next report to the collector, or next sums of the collector
+  bool advertise;            ///< a status message is to be sent without waiting for the next period
+  int64_t next_advertise_us; ///< earliest time of such a message
+  int64_t next_loads_us;     ///< next report to the collector, or next sums of the collector
   TtLoadsMode loads_mode;
   uint64_t counted_revision;  ///< revision of the list of backend servers when loads were added up
   TtLoadReport rest;          ///< sums over all other daemons, from the collector
--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -37,6 +37,10 @@
   X (ANSWER_LATE, 3005, DEBUG)                                                                     \
   X (REQUEST_REFUSED, 3006, INFO)                                                                  \
   X (REQUEST_CLEARED, 3007, INFO)                                                                  \
+  X (PART_STRUCK, 3008, INFO)                                                                      \
+  X (PART_QUARANTINED, 3009, ERROR)                                                                \
+  X (PART_CLEARED, 3010, INFO)                                                                     \
+  X (PART_TRIED, 3011, INFO)                                                                       \
   X (REQUEST_ENDED, 3101, INFO)                                                                    \
   X (REQUEST_PLACED, 3102, INFO)                                                                   \
   X (ATTEMPT_ENDED, 3103, INFO)                                                                    \
--- a/src/tarragontrack/board/notice_defs.h
+++ b/src/tarragontrack/board/notice_defs.h
@@ -39,9 +39,7 @@
   TtList buckets[TT_NOTICE_BUCKETS];
   TtList free;
   TtNotice *pool;
-  bool leaving_changed;      ///< `registry` has yet to apply a process that leaves
-  bool unadvertised;         ///< a process that was seen leaving here is to be advertised at once
-  int64_t next_advertise_us; ///< earliest time of the next immediate status message
+  bool leaving_changed; ///< `registry` has yet to apply a process that leaves
 } TtNoticeSection;
 
 typedef struct
--- a/src/tarragontrack/board/request_defs.h
+++ b/src/tarragontrack/board/request_defs.h
@@ -10,6 +10,7 @@
 #include "tarragontrack/board/list.h"
 #include "tarragontrack/board/place_defs.h"
 #include "tarragontrack/board/poison_defs.h"
+#include "tarragontrack/board/quarantine_defs.h"
 #include "tarragontrack/board/recovery_defs.h"
 #include "tarragontrack/board/retry_defs.h"
 #include "tarragontrack/board/route_defs.h"
@@ -71,10 +72,13 @@
   uint32_t max_tokens;        ///< 0 = not given
   uint32_t start_deadline_ms; ///< caller's deadline for the start; 0 = default of the document
   // Only for requests that a routing table places; see route_defs.h.
-  const char *host;             ///< valid during the event's step only
-  const char *path;             ///< including the query; valid during the event's step only
-  TtId128 bearer_key_hash;      ///< hash of the bearer key in the routing table; zero = none
-  uint64_t first_part_key;      ///< hash of the first shared prompt part; 0 = none
+  const char *host;        ///< valid during the event's step only
+  const char *path;        ///< including the query; valid during the event's step only
+  TtId128 bearer_key_hash; ///< hash of the bearer key in the routing table; zero = none
+  uint64_t first_part_key; ///< hash of the first shared prompt part; 0 = none
+  uint64_t part_keys[TT_MAX_PROMPT_PARTS]; ///< of the different shared prompt parts: the number
+                                           ///< that names a part, or its hash
+  uint32_t part_count;
   uint32_t shared_tokens;       ///< tokens of the prompt parts that are shared with other requests
   uint32_t last_event_id;       ///< id of the last event that the caller received; 0 = none
   uint32_t response_timeout_ms; ///< caller's timeout for the complete response; 0 = not given
@@ -128,6 +132,7 @@
   TtLengthRequest length;
   TtPlaceRequest place;
   TtPoisonRequest poison;
+  TtQuarantineRequest quarantine;
   TtRetryRequest retry;
   char cause[TT_CAUSE_MAX];       ///< reason for ending without a complete response; empty = none
   char last_backend[TT_NAME_MAX]; ///< backend server of the most recent attempt, for the log
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -226,6 +226,31 @@
   return list.count;
 }
 
+/// Decodes at most TT_PEER_MAX_PARTS parts. RETURN their number.
+static uint32_t
+decode_parts (TtPeerFieldCursor *body, TtPeerPart *parts)
+{
+  TtPeerFieldCursor list = tt_peer_fields_next_array (body, TT_PEER_MAX_PARTS);
+
+  for (uint32_t i = 0; i < list.count; i++)
+    {
+      TtPeerFieldCursor fields = tt_peer_fields_next_array (&list, 1 + 2 * TT_MAX_PART_STRIKES);
+
+      parts[i].key = tt_peer_fields_next_u64 (&fields);
+      parts[i].strike_count = fields.count > 2 ? (fields.count - 1) / 2 : 0;
+      if (fields.count < 2)
+        tt_peer_fields_fail (&fields, TT_E_MALFORMED);
+      else if (fields.count == 2)
+        parts[i].ages_ms[0] = tt_peer_fields_next_u32 (&fields, TT_PEER_MAX_PART_AGE_MS);
+      for (uint32_t j = 0; j < parts[i].strike_count; j++)
+        {
+          parts[i].crash_ids[j] = tt_peer_fields_next_u64 (&fields);
+          parts[i].ages_ms[j] = tt_peer_fields_next_u32 (&fields, TT_PEER_MAX_PART_AGE_MS);
+        }
+    }
+  return list.count;
+}
+
 static void
 decode_sums (TtPeerFieldCursor *body, TtLoadSums *sums)
 {
@@ -254,6 +279,8 @@
   status->change_revision = tt_peer_fields_next_u64 (body);
   if (tt_peer_fields_has_next (body))
     status->notice_count = decode_notices (body, status->notices);
+  if (tt_peer_fields_has_next (body))
+    status->part_count = decode_parts (body, status->parts);
 }
 
 /// Decodes a routing table. TtPeerTable.text points into the bytes of the message.
--- a/src/tarragontrack/codec/peer_encode.c
+++ b/src/tarragontrack/codec/peer_encode.c
@@ -197,6 +197,27 @@
     }
 }
 
+/// Packs parts: key, then crash and age of each strike, or only the age of a success.
+static void
+pack_parts (msgpack_packer *packer, const TtPeerPart *parts, uint32_t count)
+{
+  (void) msgpack_pack_array (packer, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t strikes = parts[i].strike_count;
+
+      (void) msgpack_pack_array (packer, strikes > 0 ? 1 + 2 * strikes : 2);
+      (void) msgpack_pack_uint64 (packer, parts[i].key);
+      if (strikes == 0)
+        (void) msgpack_pack_uint32 (packer, parts[i].ages_ms[0]);
+      for (uint32_t j = 0; j < strikes; j++)
+        {
+          (void) msgpack_pack_uint64 (packer, parts[i].crash_ids[j]);
+          (void) msgpack_pack_uint32 (packer, parts[i].ages_ms[j]);
+        }
+    }
+}
+
 static void
 pack_sums (msgpack_packer *packer, const TtLoadSums *sums)
 {
@@ -211,7 +232,7 @@
 static void
 pack_status (msgpack_packer *packer, const TtDaemonStatus *status)
 {
-  (void) msgpack_pack_array (packer, 12);
+  (void) msgpack_pack_array (packer, 13);
   pack_string (packer, status->name);
   pack_address (packer, status->address);
   (void) msgpack_pack_uint16 (packer, status->port);
@@ -224,6 +245,7 @@
   (void) msgpack_pack_uint32 (packer, status->reads_store ? 1 : 0);
   (void) msgpack_pack_uint64 (packer, status->change_revision);
   pack_notices (packer, status->notices, status->notice_count);
+  pack_parts (packer, status->parts, status->part_count);
 }
 
 static void
--- a/src/tarragontrack/control/controllers.c
+++ b/src/tarragontrack/control/controllers.c
@@ -39,9 +39,9 @@
   // `registry` and `routes` have applied. `recovery` closes
   // attempts, so it runs after all other controllers that read them.
   const ControllerFactory factories[] = {
-    tt_feed_controller,     tt_notice_controller,   tt_registry_controller, tt_routes_controller,
-    tt_fleet_controller,    tt_reader_controller,   tt_breaker_controller,  tt_poison_controller,
-    tt_dispatch_controller, tt_recovery_controller, tt_drain_controller,
+    tt_feed_controller,       tt_notice_controller,   tt_registry_controller, tt_routes_controller,
+    tt_fleet_controller,      tt_reader_controller,   tt_breaker_controller,  tt_poison_controller,
+    tt_quarantine_controller, tt_dispatch_controller, tt_recovery_controller, tt_drain_controller,
   };
 
   return add_controllers (board, factories, sizeof factories / sizeof factories[0]);
--- a/src/tarragontrack/control/controllers.h
+++ b/src/tarragontrack/control/controllers.h
@@ -25,6 +25,7 @@
 TtController tt_health_controller (void);
 TtController tt_length_controller (void);
 TtController tt_poison_controller (void);
+TtController tt_quarantine_controller (void);
 TtController tt_admit_controller (void);
 TtController tt_claim_controller (void);
 TtController tt_share_controller (void);
--- a/src/tarragontrack/control/fleet.c
+++ b/src/tarragontrack/control/fleet.c
@@ -7,6 +7,7 @@
 #include "tarragontrack/control/notice.h"
 #include "tarragontrack/control/poison.h"
 #include "tarragontrack/control/prefix_table.h"
+#include "tarragontrack/control/quarantine.h"
 #include "tarragontrack/control/reader.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +23,11 @@
 #define LIVENESS_TIMEOUT_US TT_SECOND_US
 #define LIVENESS_PERIODS 3
 
+/// Shortest interval between status messages that are sent at once: ADVERTISE_INTERVAL_US, or the
+/// fraction 1 / ADVERTISE_PERIOD_DIVISOR of the status period in a larger fleet.
+#define ADVERTISE_INTERVAL_US (200 * TT_MILLISECOND_US)
+#define ADVERTISE_PERIOD_DIVISOR 4
+
 /// Fleet size assumed until the list of daemons was read or another daemon sent its status.
 #define ASSUMED_FLEET_SIZE 8
 
@@ -180,6 +186,7 @@
 {
   status->notice_count
       = tt_notice_copy_leaving (board, status->notices, TT_PEER_MAX_NOTICES, now_us);
+  status->part_count = tt_quarantine_copy_parts (board, status->parts, TT_PEER_MAX_PARTS, now_us);
   status->suspect_count
       = tt_poison_copy_cleared (board, status->suspects, TT_PEER_MAX_SUSPECTS, now_us);
   TT_LIST_FOREACH (&board->poison.suspects, it)
@@ -267,6 +274,25 @@
     }
 }
 
+void
+tt_fleet_advertise (TtBoard *board)
+{
+  board->fleet.advertise = true;
+}
+
+/// Sends the status message that tt_fleet_advertise() asked for.
+static void
+advertise_findings (TtBoard *board, int64_t now_us)
+{
+  int64_t interval_us = tt_fleet_status_period_us (board) / ADVERTISE_PERIOD_DIVISOR;
+
+  if (interval_us < ADVERTISE_INTERVAL_US)
+    interval_us = ADVERTISE_INTERVAL_US;
+  board->fleet.advertise = false;
+  board->fleet.next_advertise_us = now_us + interval_us;
+  tt_fleet_send_status (board, false, now_us);
+}
+
 /// Applies entries of the store's list of daemons.
 static void
 apply_daemon_entries (TtBoard *board, const TtStoreEntries *entries)
@@ -363,6 +389,8 @@
       expire_daemons (board, now_us);
       send_statuses (board, now_us);
     }
+  if (section->advertise && now_us >= section->next_advertise_us)
+    advertise_findings (board, now_us);
   tt_fleet_loads_run (board, now_us);
   tt_fleet_copies_fetch (board, now_us);
 }
--- a/src/tarragontrack/control/fleet.h
+++ b/src/tarragontrack/control/fleet.h
@@ -24,6 +24,9 @@
 /// RETURN     the message, without prefix holders; NULL if memory could not be allocated
 TtPeerMessage *tt_fleet_new_status (TtBoard *board, const TtDaemon *daemon, int64_t now_us);
 
+/// Has a status message sent to all live daemons soon, because of a finding that binds them too.
+void tt_fleet_advertise (TtBoard *board);
+
 /// Sends a status message to all live daemons, or to those of this daemon's failure domain.
 void tt_fleet_send_status (TtBoard *board, bool domain_only, int64_t now_us);
 
--- a/src/tarragontrack/control/notice.c
+++ b/src/tarragontrack/control/notice.c
@@ -12,9 +12,6 @@
 /// is then noticed by each daemon that sent it requests.
 #define ADVERTISE_US (60 * TT_SECOND_US)
 
-/// Shortest interval between status messages that are sent at once because of a notice.
-#define ADVERTISE_INTERVAL_US (200 * TT_MILLISECOND_US)
-
 static int
 open_notice (void *context, TtBoard *board)
 {
@@ -145,7 +142,8 @@
       const TtBackendServer *backend = tt_backend_find (board, backend_id);
 
       board->notice.leaving_changed = true;
-      board->notice.unadvertised = board->notice.unadvertised || seen_here;
+      if (seen_here)
+        tt_fleet_advertise (board);
       tt_board_counter_add (board, TT_COUNT_LEAVING_NOTICES, 1);
       tt_board_log (board, TT_LOG_BACKEND_SAID_LEAVING,
                     "backend=%s process=%llu source=%s "
@@ -218,23 +216,10 @@
     record_response (board, attempt, &event->attempt, now_us);
 }
 
-static void
-run (void *context, TtBoard *board, int64_t now_us)
-{
-  TtNoticeSection *section = &board->notice;
-
-  (void) context;
-  if (!section->unadvertised || now_us < section->next_advertise_us)
-    return;
-  section->unadvertised = false;
-  section->next_advertise_us = now_us + ADVERTISE_INTERVAL_US;
-  tt_fleet_send_status (board, false, now_us);
-}
-
 TtController
 tt_notice_controller (void)
 {
   return (TtController){
-    .name = "notice", .open = open_notice, .close = close_notice, .on_event = on_event, .run = run
+    .name = "notice", .open = open_notice, .close = close_notice, .on_event = on_event
   };
 }
--- a/src/tarragontrack/control/poison.c
+++ b/src/tarragontrack/control/poison.c
@@ -185,18 +185,18 @@
   free_suspect (board, suspect);
 }
 
-/// Finishes a blocked request of a routed service; the outcome depends on this request's own
-/// attempts only.
-static void
-finish_routed (TtBoard *board, TtRequest *request, const TtError *error)
+void
+tt_poison_stop_routed (TtBoard *board, TtRequest *request, uint32_t retry_after_ms,
+                       const TtError *error)
 {
+  request->poison.blocked = true;
+  tt_board_counter_add (board, TT_COUNT_BLOCKED, 1);
   if (request->relayed)
     (void) tt_request_finish (board, request, TT_OUTCOME_CUT, 502, 0, error);
   else if (request->recovery.runs > 0)
     (void) tt_request_finish (board, request, TT_OUTCOME_UNKNOWN, 502, 0, error);
   else
-    (void) tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, 503, BLOCKED_RETRY_AFTER_MS,
-                              error);
+    (void) tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, 503, retry_after_ms, error);
 }
 
 /// Stops a request whose fingerprint is blocked.
@@ -205,15 +205,18 @@
 {
   TtError error = { 0 };
 
-  request->poison.blocked = true;
-  tt_board_counter_add (board, TT_COUNT_BLOCKED, 1);
   (void) tt_error_set (&error, TT_E_CRASHED, TT_STEP_ADMIT, request->spec.service,
                        "stopped after crashes; earlier attempts ran %u times",
                        suspect->crashed_attempts);
   if (board->config.uses_routing_table)
-    finish_routed (board, request, &error);
-  else // the outcome is unknown, because earlier attempts with this body did run
-    (void) tt_request_finish (board, request, TT_OUTCOME_UNKNOWN, 422, 0, &error);
+    {
+      tt_poison_stop_routed (board, request, BLOCKED_RETRY_AFTER_MS, &error);
+      return;
+    }
+  request->poison.blocked = true;
+  tt_board_counter_add (board, TT_COUNT_BLOCKED, 1);
+  // The outcome is unknown, because earlier attempts with this body did run.
+  (void) tt_request_finish (board, request, TT_OUTCOME_UNKNOWN, 422, 0, &error);
 }
 
 /// Marks the waiting requests with the fingerprint of @suspect as suspects and stops them if it is
--- a/src/tarragontrack/platform/dialect.c
+++ b/src/tarragontrack/platform/dialect.c
@@ -7,6 +7,7 @@
 #include "tarragontrack/platform/names.h"
 #include "tarragontrack/platform/number.h"
 #include "tarragontrack/platform/table.h"
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,12 +47,38 @@
 
 #define IS_LISTED(list, name) is_listed (list, sizeof (list) / sizeof *(list), name)
 
+/// Key of a prompt part by its id alone, whatever precedes it: the number if the id is a
+/// hexadecimal one, so that logs show it as it was sent, or else a hash.
+static uint64_t
+part_key (const char *id, size_t length)
+{
+  char *end;
+  uint64_t number;
+
+  if (length == 0 || length > 16 || !isxdigit ((unsigned char) id[0]))
+    return tt_hash_bytes (id, length);
+  number = strtoull (id, &end, 16);
+  return end == id + length && number != 0 ? number : tt_hash_bytes (id, length);
+}
+
+/// Adds a shared part, unless the prompt contains it already.
+static void
+add_part (TtRequestSpec *spec, uint64_t key)
+{
+  for (uint32_t i = 0; i < spec->part_count; i++)
+    if (spec->part_keys[i] == key)
+      return;
+  if (spec->part_count < TT_MAX_PROMPT_PARTS)
+    spec->part_keys[spec->part_count++] = key;
+}
+
 /// Parses "ID:TOKENS,ID:TOKENS,...". The last part belongs to this request only, the others are
 /// shared.
 static void
 parse_prompt_parts (const char *text, TtRequestSpec *spec)
 {
   uint64_t key = 0;
+  uint64_t previous_part = 0;
   uint32_t tokens = 0;
 
   while (*text != '\0')
@@ -65,6 +92,9 @@
       if (spec->first_part_key == 0)
         spec->first_part_key = key;
       spec->shared_tokens = tokens;
+      if (key != 0)
+        add_part (spec, previous_part);
+      previous_part = part_key (text, id_length);
       key = tt_hash_pair (key, tt_hash_bytes (text, id_length));
       if (colon != NULL)
         tokens += tt_number_parse_u32 (colon + 1, NULL);
--- a/test/codec/peer_test.c
+++ b/test/codec/peer_test.c
@@ -358,6 +358,14 @@
   message.status.loads[TT_MAX_STATUS_LOADS - 1] = (TtStatusLoad){ 9, 12, true };
   message.status.notice_count = TT_PEER_MAX_NOTICES;
   message.status.notices[TT_PEER_MAX_NOTICES - 1] = (TtPeerNotice){ 11, 12 };
+  message.status.part_count = TT_PEER_MAX_PARTS;
+  message.status.parts[0] = (TtPeerPart){ .key = 21, .ages_ms = { 22 } };
+  for (uint32_t i = 1; i < TT_PEER_MAX_PARTS; i++)
+    {
+      message.status.parts[i] = (TtPeerPart){ .key = i, .strike_count = TT_MAX_PART_STRIKES };
+      message.status.parts[i].crash_ids[TT_MAX_PART_STRIKES - 1] = UINT64_MAX;
+      message.status.parts[i].ages_ms[TT_MAX_PART_STRIKES - 1] = TT_PEER_MAX_PART_AGE_MS;
+    }
   message.status.prefix_holder_count = TT_MAX_STATUS_HOLDERS;
   message.status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1] = (TtStatusPrefixHolder){ 5, 6 };
   message.status.suspect_count = 1;
@@ -374,6 +382,12 @@
   UNIT_REQUIRE (decoded->status.notice_count == TT_PEER_MAX_NOTICES);
   CU_ASSERT (decoded->status.notices[TT_PEER_MAX_NOTICES - 1].backend_id == 11
              && decoded->status.notices[TT_PEER_MAX_NOTICES - 1].process_start_ms == 12);
+  UNIT_REQUIRE (decoded->status.part_count == TT_PEER_MAX_PARTS);
+  CU_ASSERT (decoded->status.parts[0].key == 21 && decoded->status.parts[0].strike_count == 0
+             && decoded->status.parts[0].ages_ms[0] == 22);
+  CU_ASSERT_EQUAL (memcmp (&decoded->status.parts[1], &message.status.parts[1],
+                           sizeof (TtPeerPart) * (TT_PEER_MAX_PARTS - 1)),
+                   0);
   UNIT_REQUIRE (decoded->status.prefix_holder_count == TT_MAX_STATUS_HOLDERS);
   CU_ASSERT (decoded->status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1].key == 5
              && decoded->status.prefix_holders[TT_MAX_STATUS_HOLDERS - 1].backend_id == 6);
--- a/test/platform/dialect_test.c
+++ b/test/platform/dialect_test.c
@@ -206,12 +206,41 @@
   CU_ASSERT (dialect.relays_header (NULL, "server-leaving"));
 }
 
+/// Guards against a crashing part that is not seen as the same in another prompt, and against blame
+/// for the last part, which belongs to one request only.
+static void
+test_parse_prompt_parts (void)
+{
+  static const char *const prompts[] = { "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+                                         "77:1,91BD3F06:9,91bd3f06:9,1:1", "not-hex:1,2:2" };
+  TtDialect dialect = tt_platform_dialect ();
+  TtError error = { 0 };
+  TtRequestSpec specs[3];
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      TtHeader header = { "prefix-hash", prompts[i] };
+      TtCallerCall call = { .path = "/x", .host = "h", .headers = { &header, 1 } };
+      TtEvent event;
+
+      CU_ASSERT_EQUAL (dialect.parse_request (NULL, NULL, &call, &event, &error), TT_OK);
+      specs[i] = call.spec;
+    }
+  CU_ASSERT_EQUAL (specs[0].part_count, 2);
+  CU_ASSERT_EQUAL (specs[0].part_keys[0], 0x5c1e07a2);
+  CU_ASSERT_EQUAL (specs[0].part_keys[1], 0x91bd3f06);
+  CU_ASSERT_EQUAL (specs[1].part_count, 2);
+  CU_ASSERT_EQUAL (specs[1].part_keys[1], specs[0].part_keys[1]);
+  CU_ASSERT_EQUAL (specs[2].part_count, 1);
+}
+
 static const UnitTest tests[] = {
   { "parse_request", test_parse_request },
   { "write_attempt_headers", test_write_attempt_headers },
   { "parse_response_head", test_parse_response_head },
   { "parse_not_executed", test_parse_not_executed },
   { "parse_leaving", test_parse_leaving },
+  { "parse_prompt_parts", test_parse_prompt_parts },
 };
 
 UNIT_MAIN ("dialect", tests)
