fix(platform): one odd entry in a list does not cost the whole list

Reported by another operator: an entry among those of the backend servers that was very deeply nested, had a number too large or a port out of range; processes ended, or no longer followed the list (LOST). Found here: a list with a value nested 32 levels deep could not be parsed, so a daemon kept its old list for as long as the entry stood. Numbers too large were cast from double, which is undefined, or truncated: Slots gave 1. A port out of range was rejected already; ' 80' and '+80' were taken. Change: values nested deeper than 16 levels are cut from the text before it is parsed (no recursion, one pass); Slots and born are whole numbers within bounds or the entry is invalid; other numbers saturate. Tests: platform_store deeply_nested_entry, entry_with_excessive_numbers, entry_with_port_out_of_range; the first one fails on the code before (no entries at 40 levels). Result: platform, codec, registry and fleet tests pass.

--- a/src/tarragontrack/platform/entry.c
+++ b/src/tarragontrack/platform/entry.c
@@ -4,6 +4,11 @@
 #include "tarragontrack/platform/table.h"
 #include <string.h>
 
+enum
+{
+  MAX_SLOTS = 1000000 ///< of one backend server; an entry with more is invalid
+};
+
 /// Parses a backend server's entry. RETURN false if a field is absent or invalid: other programs
 /// write these entries.
 static bool
@@ -11,14 +16,15 @@
 {
   const char *state = tt_field_string (spec, "State");
   const char *zone = tt_field_string (spec, "Zone");
+  uint64_t slots;
 
   if (state == NULL || (strcmp (state, "ready") != 0 && strcmp (state, "draining") != 0))
     return false;
   server->leaving = strcmp (state, "draining") == 0;
-  server->slots = (uint32_t) tt_field_number (spec, "Slots", 0);
-  server->process_start_ms = tt_field_number (spec, "born", 0);
-  if (zone == NULL)
+  if (zone == NULL || !tt_field_whole (spec, "Slots", MAX_SLOTS, &slots)
+      || !tt_field_whole (spec, "born", UINT64_MAX, &server->process_start_ms))
     return false;
+  server->slots = (uint32_t) slots;
   server->domain_id = tt_hash_string (zone);
   return tt_field_copy (spec, "Service", server->service, sizeof server->service)
          && tt_field_parse_endpoint (tt_field_string (spec, "Address"), server->address,
--- a/src/tarragontrack/platform/fields.c
+++ b/src/tarragontrack/platform/fields.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/// 2^64: the lowest number that is too large for a uint64_t.
+#define UINT64_LIMIT 18446744073709551616.0
+
 const char *
 tt_field_string (json_object *object, const char *name)
 {
@@ -42,12 +45,37 @@
 tt_field_number (json_object *object, const char *name, uint64_t fallback)
 {
   json_object *value = NULL;
+  double number;
 
   if (!tt_field_is_number (object, name))
     return fallback;
   (void) json_object_object_get_ex (object, name, &value);
-  return json_object_is_type (value, json_type_int) ? json_object_get_uint64 (value)
-                                                    : (uint64_t) json_object_get_double (value);
+  if (json_object_is_type (value, json_type_int))
+    return json_object_get_uint64 (value);
+  number = json_object_get_double (value);
+  return number < UINT64_LIMIT ? (uint64_t) number : UINT64_MAX;
+}
+
+uint32_t
+tt_field_number32 (json_object *object, const char *name, uint32_t fallback)
+{
+  uint64_t number = tt_field_number (object, name, fallback);
+
+  return number < UINT32_MAX ? (uint32_t) number : UINT32_MAX;
+}
+
+bool
+tt_field_whole (json_object *object, const char *name, uint64_t limit, uint64_t *number)
+{
+  json_object *value = NULL;
+
+  *number = 0;
+  if (!json_object_object_get_ex (object, name, &value))
+    return true;
+  if (!json_object_is_type (value, json_type_int) || json_object_get_int64 (value) < 0)
+    return false;
+  *number = json_object_get_uint64 (value);
+  return *number <= limit;
 }
 
 bool
@@ -86,8 +114,10 @@
     return false;
   memcpy (address, text, (size_t) (colon - text));
   address[colon - text] = '\0';
+  if (colon[1] < '0' || colon[1] > '9')
+    return false;
   value = strtoul (colon + 1, &end, 10);
-  if (end == colon + 1 || *end != '\0' || value == 0 || value > UINT16_MAX
+  if (*end != '\0' || value == 0 || value > UINT16_MAX
       || inet_pton (AF_INET, address, &number) != 1)
     return false;
   *port = (uint16_t) value;
--- a/src/tarragontrack/platform/fields.h
+++ b/src/tarragontrack/platform/fields.h
@@ -13,9 +13,16 @@
 /// Copies a string member. RETURN false if it is absent, empty or too long.
 bool tt_field_copy (json_object *object, const char *name, char *target, size_t size);
 
-/// Returns a non-negative number.
+/// Returns a non-negative number, UINT64_MAX if it is larger.
 uint64_t tt_field_number (json_object *object, const char *name, uint64_t fallback);
 
+/// Returns a non-negative number, UINT32_MAX if it is larger.
+uint32_t tt_field_number32 (json_object *object, const char *name, uint32_t fallback);
+
+/// Reads a whole number from 0 to @limit; @number is 0 if the member is absent. RETURN false if the
+/// member is anything else.
+bool tt_field_whole (json_object *object, const char *name, uint64_t limit, uint64_t *number);
+
 /// True if the member is a non-negative number.
 bool tt_field_is_number (json_object *object, const char *name);
 
--- a/src/tarragontrack/platform/store.c
+++ b/src/tarragontrack/platform/store.c
@@ -4,6 +4,7 @@
 #include "tarragontrack/platform/entry.h"
 #include "tarragontrack/platform/fields.h"
 #include "tarragontrack/platform/names.h"
+#include "tarragontrack/platform/nesting.h"
 #include "tarragontrack/platform/table.h"
 #include <curl/curl.h>
 #include <stdio.h>
@@ -156,6 +157,7 @@
   bool is_read = response->op == TT_PLATFORM_LIST || response->op == TT_PLATFORM_WATCH_ENTRIES;
   json_tokener *tokener;
   json_object *root;
+  char *cut;
 
   (void) context;
   event->code = status_to_error (response);
@@ -165,8 +167,11 @@
   if (!is_read)
     return TT_OK;
   tokener = json_tokener_new ();
-  root = tokener != NULL ? json_tokener_parse_ex (tokener, response->data, (int) response->size)
+  cut = tt_nesting_cut (response->data, response->size);
+  root = tokener != NULL ? json_tokener_parse_ex (tokener, cut != NULL ? cut : response->data,
+                                                  (int) response->size)
                          : NULL;
+  free (cut);
   if (json_object_is_type (root, json_type_object) && tt_field_is_number (root, "AsOf"))
     event->entries = parse_entries (response, root);
   if (event->entries == NULL)
--- a/src/tarragontrack/platform/table.c
+++ b/src/tarragontrack/platform/table.c
@@ -46,7 +46,7 @@
       json_object *entry = json_object_array_get_idx (array, i);
 
       if (!add_target (route, tt_field_string (entry, "Service"),
-                       (uint32_t) tt_field_number (entry, "Weight", 0)))
+                       tt_field_number32 (entry, "Weight", 0)))
         return false;
     }
   return count > 0 || add_target (route, tt_field_string (object, "Service"), 1);
@@ -81,11 +81,11 @@
   route->stream = strcmp (kind, "streaming") == 0;
   route->keyless = tt_field_bool (object, "Public", false);
   route->affinity = tt_field_bool (object, "Affinity", false);
-  route->max_attempts = (uint32_t) tt_field_number (object, "MaxAttempts", 1);
-  route->timeout_ms = (uint32_t) tt_field_number (object, "TimeoutMs", 0);
-  route->goal_ms = (uint32_t) tt_field_number (object, "GoalMs", 0);
-  route->event_gap_ms = (uint32_t) tt_field_number (object, "GapTargetMs", 0);
-  route->priority = (uint32_t) tt_field_number (object, "Priority", 0);
+  route->max_attempts = tt_field_number32 (object, "MaxAttempts", 1);
+  route->timeout_ms = tt_field_number32 (object, "TimeoutMs", 0);
+  route->goal_ms = tt_field_number32 (object, "GoalMs", 0);
+  route->event_gap_ms = tt_field_number32 (object, "GapTargetMs", 0);
+  route->priority = tt_field_number32 (object, "Priority", 0);
   return parse_targets (object, route);
 }
 
@@ -137,7 +137,7 @@
     return false;
   account->id = tt_hash_string (account->name);
   account->has_priority = tt_field_is_number (object, "Priority");
-  account->priority = (uint32_t) tt_field_number (object, "Priority", 0);
+  account->priority = tt_field_number32 (object, "Priority", 0);
   for (size_t i = 0; i < count; i++)
     {
       json_object *key = json_object_array_get_idx (keys, i);
@@ -203,9 +203,9 @@
 
   if (!json_object_object_get_ex (spec, "Limits", &limits))
     return;
-  table->max_header_bytes = (uint32_t) tt_field_number (limits, "MaxHeaderBytes", 0);
-  table->max_body_bytes = (uint32_t) tt_field_number (limits, "MaxBodyBytes", 0);
-  table->idle_timeout_ms = (uint32_t) tt_field_number (limits, "IdleTimeoutMs", 0);
+  table->max_header_bytes = tt_field_number32 (limits, "MaxHeaderBytes", 0);
+  table->max_body_bytes = tt_field_number32 (limits, "MaxBodyBytes", 0);
+  table->idle_timeout_ms = tt_field_number32 (limits, "IdleTimeoutMs", 0);
 }
 
 /// Stores the JSON text of the configuration, which is sent to other daemons.
--- a/test/platform/store_test.c
+++ b/test/platform/store_test.c
@@ -1,6 +1,8 @@
 #include "support/unit.h"
 #include "tarragontrack/board/error_defs.h"
 #include "tarragontrack/platform/store.h"
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static TtStoreIdentity identity
@@ -132,11 +134,104 @@
   CU_ASSERT_PTR_NULL (event.entries);
 }
 
+/// Decodes a list of three entries, of which the second one has a given spec, and requires that the
+/// others hold. RETURN whether the second one names a backend server.
+static bool
+odd_entry_is_valid (const char *spec)
+{
+  static const char format[] = "{\"Entries\":[" SERVER_JSON ("a", VALID_SPEC) "," SERVER_JSON (
+      "b", "%s") "," SERVER_JSON ("c", VALID_SPEC) "],\"AsOf\":530}";
+  size_t size = sizeof format + strlen (spec);
+  char *text = malloc (size);
+  TtPlatformEvent event;
+  bool valid;
+
+  (void) snprintf (text, size, format, spec);
+  CU_ASSERT_EQUAL (decode_servers (TT_PLATFORM_LIST, 200, text, &event), TT_OK);
+  UNIT_REQUIRE (event.entries != NULL && event.entries->count == 3);
+  CU_ASSERT (event.entries->entries[0].valid && event.entries->entries[2].valid);
+  valid = event.entries->entries[1].valid;
+  free_event (&event);
+  free (text);
+  return valid;
+}
+
+/// Guards against one very deeply nested entry of another writer for which the whole list is lost,
+/// or the process ends in the parser's recursion (processes that end by themselves, LOST).
+static void
+test_deeply_nested_entry (void)
+{
+  static const unsigned depths[] = { 5, 20, 40, 400000 };
+
+  for (size_t i = 0; i < sizeof depths / sizeof depths[0]; i++)
+    {
+      char *spec = malloc (2 * depths[i] + 64);
+      char *at = spec;
+
+      at += sprintf (at, "{\"Service\":\"s]}\\\"\",\"x\":");
+      memset (at, '[', depths[i]);
+      memset (at + depths[i], ']', depths[i]);
+      (void) strcpy (at + 2 * depths[i], "}");
+      CU_ASSERT_FALSE (odd_entry_is_valid (spec));
+      free (spec);
+    }
+}
+
+/// Guards against an entry with a number that is too large for its type: the result of the
+/// conversion differs between kinds of machines, or a small number comes out of it.
+static void
+test_entry_with_excessive_numbers (void)
+{
+  static const char *const members[] = { "\"Slots\":1e300,\"born\":5",
+                                         "\"Slots\":4294967297,\"born\":5",
+                                         "\"Slots\":99999999999999999999999999,\"born\":5",
+                                         "\"Slots\":-1,\"born\":5",
+                                         "\"Slots\":\"6\",\"born\":5",
+                                         "\"Slots\":6,\"born\":1e300",
+                                         "\"Slots\":6,\"born\":-5",
+                                         "\"Slots\":6,\"born\":5.5",
+                                         "\"Slots\":6,\"born\":Infinity",
+                                         "\"Slots\":6,\"born\":NaN" };
+  char spec[256];
+
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    {
+      (void) snprintf (spec, sizeof spec,
+                       "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","
+                       "\"State\":\"ready\",%s}",
+                       members[i]);
+      CU_ASSERT_FALSE (odd_entry_is_valid (spec));
+    }
+}
+
+/// Guards against an entry whose port is out of range and that names another port after truncation.
+static void
+test_entry_with_port_out_of_range (void)
+{
+  static const char *const addresses[]
+      = { "10.1.2.3:65616", "10.1.2.3:0",  "10.1.2.3:-65456", "10.1.2.3:18446744073709551696",
+          "10.1.2.3:80x",   "10.1.2.3:",   "10.1.2.3",        "10.1.2.3: 80",
+          "10.1.2.3:+80",   "host.name:80" };
+  char spec[256];
+
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      (void) snprintf (spec, sizeof spec,
+                       "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":6,"
+                       "\"State\":\"ready\",\"born\":5}",
+                       addresses[i]);
+      CU_ASSERT_FALSE (odd_entry_is_valid (spec));
+    }
+}
+
 static const UnitTest tests[] = {
   { "request_paths", test_request_paths },
   { "list_with_malformed_entries", test_list_with_malformed_entries },
   { "watch_removal", test_watch_removal },
   { "error_responses", test_error_responses },
+  { "deeply_nested_entry", test_deeply_nested_entry },
+  { "entry_with_excessive_numbers", test_entry_with_excessive_numbers },
+  { "entry_with_port_out_of_range", test_entry_with_port_out_of_range },
 };
 
 UNIT_MAIN ("store", tests)
