fix(platform): a stream that ends inside an event is broken off, not complete (ORDER)

Callers would see: a stream without length and chunks that ends with its connection, in the middle of an event, as a complete answer, and the part of an event in it. Cause: the scanner of the users' streams reported each end of the HTTP message as the end of the stream. Change: the stream is complete only if no event is incomplete; otherwise it is resumed or broken off, and the part of an event is not relayed.

--- a/src/tarragontrack/codec/sse.h
+++ b/src/tarragontrack/codec/sse.h
@@ -17,7 +17,7 @@
   uint32_t cached_tokens;
   uint32_t prompt_tokens;
   uint32_t last_event_id; ///< id of the last event, for streams with ids; not set by tt_sse_scan()
-  bool done;              ///< `data: [DONE]` was found
+  bool done;              ///< `data: [DONE]` was found; of streams with ids: no event is incomplete
   bool error;             ///< an event contains an error of the engine
 } TtSseScan;
 
--- a/src/tarragontrack/platform/event_stream.c
+++ b/src/tarragontrack/platform/event_stream.c
@@ -53,7 +53,6 @@
 {
   size_t consumed = 0;
 
-  scan->done = true; // the stream ends with the HTTP message; there is no final event
   while (!scan->error)
     {
       size_t length = event_length (data + consumed, size - consumed);
@@ -74,5 +73,7 @@
         }
       consumed += length;
     }
+  // There is no final event: the stream is complete if its HTTP message ends after a whole event.
+  scan->done = consumed == size;
   return consumed;
 }
--- a/test/platform/event_stream_test.c
+++ b/test/platform/event_stream_test.c
@@ -36,9 +36,25 @@
   CU_ASSERT (state.error);
 }
 
+/// Guards against a stream that has neither a length nor chunks and ends inside an event, because
+/// its backend server crashed, and that looks complete to the caller (ORDER, MIXED).
+static void
+test_end_inside_event (void)
+{
+  TtSseScan state = { 0 };
+
+  CU_ASSERT_EQUAL (scan ("id: 1\ndata: a\n\nid: 2\nda", &state), 15);
+  CU_ASSERT_FALSE (state.done);
+  CU_ASSERT_EQUAL (scan ("id: 2\ndata: b\n", &state), 0);
+  CU_ASSERT_FALSE (state.done);
+  CU_ASSERT_EQUAL (scan ("id: 2\ndata: b\n\n", &state), 15);
+  CU_ASSERT (state.done);
+}
+
 static const UnitTest tests[] = {
   { "complete_events", test_complete_events },
   { "id_gaps", test_id_gaps },
+  { "end_inside_event", test_end_inside_event },
 };
 
 UNIT_MAIN ("event_stream", tests)
