fix(recovery): only a stream of events goes on with a begun stream (ORDER, MIXED)

Reported by another operator: a stream had begun and broke off, the next backend server answered with an error, and callers found its text in the middle of their stream, or the stream ended as if it were complete. Found here: a short error answer was handled (failed_resume_cuts_stream), but one above the buffer limit was relayed into the stream, and so was a success that is no stream of events. The head was not: a response is started once. Change: events of attempts say whether the response is a stream of events; any other answer ends the attempt, and the request is sent again or the caller's stream is broken off. Test: control_recovery other_answer_cuts_begun_stream (aborts on the code before: no reply, the body is relayed).

--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -45,6 +45,7 @@
   uint32_t body_size;
   bool maybe_sent;     ///< FAILED: bytes of the request may have reached the peer
   bool exceeds_buffer; ///< PROGRESS: a plain response exceeds the buffer; it is relayed in parts
+  bool event_stream;   ///< PROGRESS, DONE: the response is a stream of events
   bool not_executed;   ///< DONE: the backend server reported that it did not run the request
   bool leaving;        ///< PROGRESS, DONE: the backend server says that it leaves
   uint32_t unavailable_ms; ///< PROGRESS, DONE: time for which the backend server wants no requests
--- a/src/tarragontrack/control/recovery.c
+++ b/src/tarragontrack/control/recovery.c
@@ -163,12 +163,35 @@
                                          .backend_id = attempt->backend->id };
 }
 
+static bool
+is_success (uint32_t status)
+{
+  return status >= 200 && status < 300;
+}
+
+/// True if another attempt has begun to answer the caller, and this one's response is none that can
+/// go on with it: only a stream of events can.
+static bool
+breaks_begun_response (const TtAttempt *attempt, const TtAttemptEvent *event)
+{
+  return attempt->request->relayed && attempt->request->winner != attempt
+         && !(is_success (event->status) && event->event_stream);
+}
+
 static void
 on_progress (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
 {
   TtRequest *request = attempt->request;
 
   attempt->last_progress_us = now_us;
+  if (event->exceeds_buffer && breaks_begun_response (attempt, event))
+    {
+      record_tried_backend (request, attempt->backend);
+      tt_attempt_cancel (board, attempt);
+      retry_or_finish (board, request, true, true,
+                       "the backend server did not go on with the answer", now_us);
+      return;
+    }
   if (event->exceeds_buffer)
     {
       relay (board, attempt, now_us);
@@ -186,12 +209,6 @@
   tt_board_counter_add (board, TT_COUNT_TOKENS, event->tokens);
 }
 
-static bool
-is_success (uint32_t status)
-{
-  return status >= 200 && status < 300;
-}
-
 /// True for a status by which a daemon promises its caller that the request has not run and never
 /// will. A backend server makes this promise only with the "not executed" header, not by the status
 /// alone.
@@ -226,9 +243,8 @@
         requeue (board, request);
       return;
     }
-  if (request->relayed && request->winner != attempt && !is_success (event->status))
+  if (breaks_begun_response (attempt, event))
     {
-      // A response that was partly relayed cannot be continued by an error response.
       tt_attempt_close (board, attempt);
       retry_or_finish (board, request, true, true,
                        "the backend server did not go on with the answer", now_us);
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -31,6 +31,7 @@
   event.attempt.tokens = tokens;
   event.attempt.exceeds_buffer = exceeds_buffer;
   event.attempt.status = attempt->status;
+  event.attempt.event_stream = attempt->event_stream;
   event.attempt.last_event_id = attempt->scan.last_event_id;
   event.attempt.load = attempt->response_info.load;
   event.attempt.leaving = attempt->response_info.leaving;
@@ -237,6 +238,7 @@
   attempt->relayable_size = attempt->size; // includes [DONE], which the scan excludes
   event.attempt.attempt_id = id;
   event.attempt.status = attempt->status;
+  event.attempt.event_stream = attempt->event_stream;
   if (!attempt->event_stream && client->options.dialect->parse_usage != NULL)
     client->options.dialect->parse_usage (attempt->buffer, attempt->size, &attempt->scan);
   event.attempt.cached_tokens = attempt->scan.cached_tokens;
--- a/test/control/recovery_test.c
+++ b/test/control/recovery_test.c
@@ -252,6 +252,57 @@
   routed_board_close (&routed);
 }
 
+/// Starts a stream whose engine crashes after the first event. RETURN the attempt that goes on.
+static TtAttemptAction
+resume_broken_stream (void)
+{
+  TtAttemptAction first;
+  TtAttemptAction second;
+
+  open_engines ();
+  (void) routed_board_send_request (&routed, "/s/x", 7, 6000);
+  first = next_sent_attempt ();
+  routed_board_attempt_progress (&routed, first.attempt_id, 1);
+  routed_board_attempt_failed (&routed, first.attempt_id, TT_E_CRASHED, true);
+  second = next_sent_attempt ();
+  (void) routed_board_count_actions (&routed, TT_ACTION_RELAY);
+  return second;
+}
+
+/// Guards against an answer in the middle of a begun stream that does not go on with it (ORDER,
+/// MIXED): a long error that exceeds the buffer, or a success that is no stream of events.
+static void
+other_answer_cuts_begun_stream (void)
+{
+  static const TtAttemptEvent answers[]
+      = { { .status = 500, .exceeds_buffer = true }, { .status = 200, .exceeds_buffer = true } };
+
+  for (size_t i = 0; i < sizeof answers / sizeof answers[0]; i++)
+    {
+      TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS, .attempt = answers[i] };
+      TtAction action = { 0 };
+
+      event.attempt.attempt_id = resume_broken_stream ().attempt_id;
+      routed_board_step (&routed, 1, &event);
+      UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_REPLY, &action));
+      CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_CUT);
+      routed_board_close (&routed);
+    }
+  for (unsigned event_stream = 0; event_stream < 2; event_stream++)
+    {
+      TtEvent event = { .type = TT_EVENT_ATTEMPT_DONE,
+                        .attempt = { .status = 200, .event_stream = event_stream == 1 } };
+      TtAction action = { 0 };
+
+      event.attempt.attempt_id = resume_broken_stream ().attempt_id;
+      routed_board_step (&routed, 1, &event);
+      CU_ASSERT_EQUAL (routed_board_next_action (&routed, TT_ACTION_REPLY, &action),
+                       event_stream == 0);
+      CU_ASSERT_EQUAL (action.reply.outcome, event_stream == 0 ? TT_OUTCOME_CUT : TT_OUTCOME_NONE);
+      routed_board_close (&routed);
+    }
+}
+
 /// Guards against relaying a backend server's 503 that has no "not executed" header. The request
 /// may have run, but the caller of a non-idempotent request would treat the 503 as a promise that
 /// it did not.
@@ -303,6 +354,7 @@
   { "deadline_is_enforced", deadline_is_enforced },
   { "caller_disconnects", caller_disconnects },
   { "failed_resume_cuts_stream", failed_resume_cuts_stream },
+  { "other_answer_cuts_begun_stream", other_answer_cuts_begun_stream },
   { "refusal_without_header_is_unknown", refusal_without_header_is_unknown },
   { "long_response_is_relayed_in_parts", long_response_is_relayed_in_parts },
 };
