fix(registry): a new process is not blamed for silent attempts of an earlier one

Cause, found while reading what binds until a backend server is born anew: the circuit breaker's count of silent attempts was reset with the process, the count that it is compared with was not, so that the breaker of a new process with the same id opened at once. Change: recovery's state of the backend server is reset too. Test: control_breaker new_process_starts_afresh (fails on the code before).

--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -67,6 +67,7 @@
 {
   memset (&backend->breaker, 0, sizeof backend->breaker);
   memset (&backend->dispatch, 0, sizeof backend->dispatch);
+  memset (&backend->recovery, 0, sizeof backend->recovery);
 }
 
 /// Applies the entry of a backend server from the store or from another daemon's copy.
--- a/test/control/breaker_test.c
+++ b/test/control/breaker_test.c
@@ -145,7 +145,26 @@
   routed_board_close (&routed);
 }
 
+/// Guards against blame for a new process because of what an earlier one with the same id did: its
+/// silent attempts would open the breaker as soon as the new process is listed.
+static void
+new_process_starts_afresh (void)
+{
+  TtBackendServer *backend;
+
+  open_with_one_backend ();
+  backend = find_backend ("p1");
+  backend->recovery.silent_attempts = 3;
+  routed_board_advance (&routed, 5000);
+  routed_board_change_server (&routed, "p1", ROUTED_PLAIN_SERVICE, false, false, 2);
+  routed_board_advance (&routed, 100);
+  CU_ASSERT_EQUAL (backend->breaker.state, TT_BREAKER_CLOSED);
+  CU_ASSERT_EQUAL (backend->breaker.consecutive_failures, 0);
+  routed_board_close (&routed);
+}
+
 static const UnitTest tests[] = {
+  { "new_process_starts_afresh", new_process_starts_afresh },
   { "breaker_opens_and_closes", open_and_close },
   { "open_breaker_of_only_backend_admits_requests", use_only_backend_when_open },
   { "high_error_rate_opens_breaker", open_on_high_error_rate },
