test: a repeated refusal is taken for no other request's answer (REFUSED, TWICE)

Reported by another operator: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or such a request ran twice. Looked for here: not possible on the users' platform. Each attempt has a connection of its own, and an answer with another request's id is no answer; it says nothing about the backend server either. In the own interface, where connections are kept, the attempt's id is compared. Tests: io_backend_client 'a repeated refusal is the response to a later request', platform_dialect parse_repeated_refusal.

--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -325,6 +325,42 @@
   tear_down ();
 }
 
+/// Rejects the first request twice on its connection, and responds to the others.
+static void
+repeat_refusal (void *context, TestServerConnection *connection, unsigned number,
+                const char *request)
+{
+  static const char refusal[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+  if (test_server_accepted_connections (fixture.engine) > 1)
+    {
+      respond_non_streamed (context, connection, number, request);
+      return;
+    }
+  test_server_send (connection, refusal, sizeof refusal - 1);
+  test_server_send (connection, refusal, sizeof refusal - 1);
+}
+
+/// Guards against a refusal that a backend server writes once more on a connection that is kept:
+/// the next request there would be reported as not run, or sent a second time, while it runs. An
+/// attempt that is not repeatable never uses a connection of another one.
+static void
+test_repeated_refusal (void)
+{
+  set_up (repeat_refusal);
+  fixture.dialect->connection_per_attempt = true;
+  send_request (non_streamed_request);
+  uv_close ((uv_handle_t *) &fixture.caller, NULL);
+  (void) uv_run (&fixture.loop, UV_RUN_NOWAIT);
+  fixture.size = 0;
+  send_request (non_streamed_request);
+  CU_ASSERT (response_contains ("HTTP/1.1 200"));
+  CU_ASSERT (response_contains ("{\"a\":17}"));
+  CU_ASSERT_EQUAL (test_server_accepted_connections (fixture.engine), fixture.dispatched);
+  CU_ASSERT_EQUAL (test_server_open_connections (fixture.engine), 0);
+  tear_down ();
+}
+
 static void
 close_without_response (void *context, TestServerConnection *connection, unsigned number,
                         const char *request)
@@ -450,6 +486,7 @@
     test_truncated_stream },
   { "a non-streamed response is not relayed", test_non_streamed_response },
   { "a connection that is not reused stays open", test_connection_per_attempt },
+  { "a repeated refusal is the response to a later request", test_repeated_refusal },
   { "a crash of the engine is relayed as a response", test_engine_crash },
   { "a caller receives the response to another attempt", test_response_of_other_attempt },
   { "bytes that are no event are buffered without end", test_endless_body },
--- a/test/platform/dialect_test.c
+++ b/test/platform/dialect_test.c
@@ -176,6 +176,28 @@
   CU_ASSERT (info.not_executed);
 }
 
+/// Guards against a refusal of an earlier request that is written once more (REFUSED, TWICE): it
+/// says nothing of this request, and must not be taken for its promise "not run".
+static void
+test_parse_repeated_refusal (void)
+{
+  TtDialect dialect = tt_platform_dialect ();
+  TtCallerCall call = make_call ();
+  TtResponseInfo info = { .status = 503 };
+  const char *reason = NULL;
+  TtId128 token = { 0, 0 };
+  HeaderSet response = { .count = 0 };
+
+  add_header (&response, "attempt-id", "earlier");
+  add_header (&response, "not-executed", "1");
+  add_header (&response, "retry-after", "5");
+  add_header (&response, "server-leaving", "1");
+  CU_ASSERT_EQUAL (
+      dialect.parse_response_head (NULL, &call, token, find_header, &response, &info, &reason),
+      TT_E_STALE);
+  CU_ASSERT (!info.not_executed && !info.leaving && info.unavailable_ms == 0);
+}
+
 /// Guards against passing on a response that says that its backend server leaves, without noticing
 /// it (DRAIN). Each kind of response says so, and the header is relayed.
 static void
@@ -239,6 +261,7 @@
   { "write_attempt_headers", test_write_attempt_headers },
   { "parse_response_head", test_parse_response_head },
   { "parse_not_executed", test_parse_not_executed },
+  { "parse_repeated_refusal", test_parse_repeated_refusal },
   { "parse_leaving", test_parse_leaving },
   { "parse_prompt_parts", test_parse_prompt_parts },
 };
