fix(quarantine): parts with equal strikes are tried alone once, not after each crash

Cause: each further strike of any part, here or told by another daemon, allowed another immediate trial. Change: the trial is allowed in the step in which a part is quarantined. Result: control_quarantine passes.

--- a/src/tarragontrack/control/quarantine.c
+++ b/src/tarragontrack/control/quarantine.c
@@ -98,7 +98,7 @@
 /// Applies a quarantined part to another suspect: each crash has one cause. Strikes for the same
 /// crashes are taken from a suspect that isn't quarantined itself, and one without others is
 /// cleared. Two parts with exactly the same strikes cannot be told apart before a request with only
-/// one of them is tried, which is done at once.
+/// one of them is tried, which is done at once when they are quarantined.
 static void
 explain_strikes (TtBoard *board, TtSuspectPart *cause, TtSuspectPart *other, int64_t now_us)
 {
@@ -108,7 +108,7 @@
     return;
   if (shared == other->strike_count && other->strike_count < cause->strike_count)
     clear_part (board, other, "explained");
-  else if (shared == other->strike_count && other->quarantined)
+  else if (shared == other->strike_count && other->quarantined && board->quarantine.unapplied)
     {
       cause->next_alone_trial_us = now_us;
       other->next_alone_trial_us = now_us;
