test(soak): backend servers say that they leave, reject for a while, and crash on a part

Cause: the bench plays neither Server-Leaving nor Retry-After of backend servers, so that nothing showed whether the daemons keep to them under cuts, freezes and restarts. Change: the stand-ins send both headers, with an entry in the store that does not always agree, and check each request against what the daemon that sent it was told; half of the seeds have a deadly part of prompts.

--- a/test/soak/backend.c
+++ b/test/soak/backend.c
@@ -1,4 +1,5 @@
 #include "backend.h"
+#include "faults.h"
 #include "proxy.h"
 #include "store.h"
 #include <h2o.h>
@@ -16,6 +17,14 @@
 #define DRAIN_US 2000000
 #define DRAIN_SLACK_US 500000 ///< tolerance added to DRAIN_US
 #define RECOVERY_US 3000000   ///< time after a fault until the bounds hold again
+/// Time after a rejection with Retry-After in which requests that are on their way still arrive.
+#define REJECTED_SLACK_US 500000
+#define MAX_REQUESTS_INSIDE 2 ///< requests allowed within the time that a rejection named
+/// Time after the fifth crash on a deadly part until requests with it are stopped, and how many may
+/// still arrive after that.
+#define DEADLY_STOP_US 3000000
+#define MAX_LATE_DEADLY_REQUESTS 3
+#define DEADLY_CRASHES 5
 
 typedef struct RequestGuard RequestGuard;
 
@@ -32,6 +41,7 @@
   int64_t due_us;
   unsigned next_event; ///< number of the next event, from 1
   bool stream;
+  bool deadly; ///< the backend server crashes when it begins to answer
   bool started;
   bool sending;
   bool finished;
@@ -83,10 +93,24 @@
   soak_store_put (&backend->soak->store, "servers", text, spec);
 }
 
+/// Adds the headers that all responses of a backend server have.
 static void
-reject_request (h2o_req_t *request, unsigned status)
+add_instance_headers (const SoakBackend *backend, h2o_req_t *request)
+{
+  char instance_id[32];
+
+  format_instance_id (backend, instance_id, sizeof instance_id);
+  tt_http_server_add_header (request, "x-instance",
+                             h2o_strdup (&request->pool, instance_id, SIZE_MAX).base);
+  if (backend->says_leaving)
+    tt_http_server_add_header (request, "server-leaving", "1");
+}
+
+static void
+reject_request (const SoakBackend *backend, h2o_req_t *request, unsigned status)
 {
   tt_http_server_add_header (request, "not-executed", "1");
+  add_instance_headers (backend, request);
   tt_http_server_send_response (request, status, "text/plain", "", 0);
 }
 
@@ -102,7 +126,7 @@
   format_instance_id (backend, instance_id, sizeof instance_id);
   if (expected_instance == NULL || strcmp (expected_instance, instance_id) != 0)
     {
-      reject_request (request, 421);
+      reject_request (backend, request, 421);
       return false;
     }
   if (soak_request_find (soak, id) == NULL)
@@ -120,6 +144,81 @@
   return true;
 }
 
+/// Returns what the backend server told a daemon; NULL if a restart or a freeze of the daemon, or a
+/// new process of the backend server, excuses the daemon.
+static SoakNotice *
+binding_notice (const SoakBackend *backend, unsigned daemon_index, int64_t told_us)
+{
+  SoakDaemon *daemon = &backend->soak->daemons[daemon_index];
+  SoakNotice *notice = &daemon->notices[backend->index];
+
+  return notice->incarnation == backend->incarnation && daemon->started_us < told_us
+                 && daemon->resumed_us < told_us && !daemon->paused
+             ? notice
+             : NULL;
+}
+
+/// Checks that a daemon keeps to what responses told it, whatever the store says.
+static void
+check_notices (const SoakBackend *backend, const SoakRequest *record)
+{
+  Soak *soak = backend->soak;
+  const SoakNotice *told = &soak->daemons[record->daemon].notices[backend->index];
+  SoakNotice *notice = binding_notice (backend, record->daemon, told->leaving_told_us);
+  int64_t now_us = soak_now_us ();
+
+  if (notice != NULL && notice->leaving_told_us != 0
+      && record->sent_us > notice->leaving_told_us + DRAIN_US)
+    soak_violation (soak, "DRAIN",
+                    "request %s reached backend server %u from daemon %u, sent %lld ms after that "
+                    "had passed on that it leaves",
+                    record->id, backend->index, record->daemon,
+                    (long long) (record->sent_us - notice->leaving_told_us) / 1000);
+  notice = binding_notice (backend, record->daemon, told->rejected_us);
+  if (notice != NULL && notice->rejected_us != 0 && now_us > notice->rejected_us + REJECTED_SLACK_US
+      && now_us < notice->retry_after_us && ++notice->requests_inside > MAX_REQUESTS_INSIDE)
+    soak_violation (soak, "BUDGET",
+                    "%u requests reached backend server %u from daemon %u, %lld ms after it had "
+                    "rejected one with Retry-After",
+                    notice->requests_inside, backend->index, record->daemon,
+                    (long long) (now_us - notice->rejected_us) / 1000);
+  // Crashes of backend servers excuse nothing here: they are what the daemons must end.
+  if (!record->deadly || soak->fifth_deadly_crash_us == 0
+      || now_us < soak->fifth_deadly_crash_us + DEADLY_STOP_US
+      || now_us < soak->daemons[record->daemon].last_fault_us + RECOVERY_US
+      || now_us < soak->daemons[record->daemon].started_us + RECOVERY_US)
+    return;
+  if (++soak->late_deadly_requests > MAX_LATE_DEADLY_REQUESTS)
+    soak_violation (soak, "BUDGET", "request %s is number %u with the part that crashed %u engines",
+                    record->id, soak->late_deadly_requests, soak->deadly_crashes);
+}
+
+/// Rejects a request with a time for which the daemon must leave the backend server alone.
+static void
+reject_for_a_while (SoakBackend *backend, h2o_req_t *request, const SoakRequest *record)
+{
+  Soak *soak = backend->soak;
+  SoakNotice *notice = &soak->daemons[record->daemon].notices[backend->index];
+  uint64_t ms = 1000 + tt_rng_below (&soak->rng, 2500);
+  int64_t until_us = soak_now_us () + (int64_t) ms * 1000;
+  char text[32];
+
+  backend->reject_requests--;
+  if (notice->incarnation != backend->incarnation)
+    *notice = (SoakNotice){ .incarnation = backend->incarnation };
+  // A longer time that was named before is still in force.
+  if (until_us > notice->retry_after_us)
+    {
+      notice->rejected_us = soak_now_us ();
+      notice->retry_after_us = until_us;
+      notice->requests_inside = 0;
+    }
+  (void) snprintf (text, sizeof text, "%u.%03u", (unsigned) (ms / 1000), (unsigned) (ms % 1000));
+  tt_http_server_add_header (request, "retry-after",
+                             h2o_strdup (&request->pool, text, SIZE_MAX).base);
+  reject_request (backend, request, 503);
+}
+
 static void
 on_request (void *context, h2o_req_t *request)
 {
@@ -135,6 +234,12 @@
   record = soak_request_find (backend->soak, id);
   if (record != NULL)
     {
+      check_notices (backend, record);
+      if (backend->reject_requests > 0)
+        {
+          reject_for_a_while (backend, request, record);
+          return;
+        }
       record->executions++;
       if (record->rejected)
         soak_violation (backend->soak, "REFUSED", "request %s runs after it was refused", id);
@@ -149,6 +254,7 @@
   (void) snprintf (job->id, sizeof job->id, "%s", id);
   job->stream = backend->index < SOAK_ENGINES;
   job->next_event = last_event_id != NULL ? (unsigned) strtoul (last_event_id, NULL, 10) + 1 : 1;
+  job->deadly = record != NULL && record->deadly;
   job->due_us = soak_now_us () + (job->stream ? EVENT_INTERVAL_US : PLAIN_RESPONSE_US);
   guard = h2o_mem_alloc_shared (&request->pool, sizeof *guard, on_request_freed);
   guard->job = job;
@@ -169,6 +275,7 @@
   h2o_req_t *request = job->request;
 
   job->started = true;
+  add_instance_headers (job->backend, request);
   tt_http_server_add_header (request, "attempt-id", job->id);
   tt_http_server_add_header (request, "response-signature", job->id);
   tt_http_server_add_header (request, "instance-load", "1,0,16");
@@ -186,6 +293,18 @@
   (void) shutdown (h2o_socket_get_fd (socket), SHUT_RDWR);
 }
 
+/// Crashes the engine that begins to answer a request with a deadly part.
+static void
+crash_on_deadly_part (BackendJob *job)
+{
+  Soak *soak = job->backend->soak;
+
+  soak_log (soak, "backend server %u crashes on request %s", job->backend->index, job->id);
+  if (++soak->deadly_crashes == DEADLY_CRASHES)
+    soak->fifth_deadly_crash_us = soak_now_us ();
+  soak_crash_backend (soak, job->backend->index, false);
+}
+
 static void
 send_event (BackendJob *job)
 {
@@ -193,6 +312,11 @@
   h2o_iovec_t bytes;
   bool last = job->next_event == SOAK_STREAM_EVENTS;
 
+  if (job->deadly)
+    {
+      crash_on_deadly_part (job);
+      return;
+    }
   if (!job->started)
     {
       start_response (job);
@@ -245,7 +369,7 @@
       BackendJob *job = TT_CONTAINER_OF (it, BackendJob, link);
 
       if (job->request != NULL && !job->finished && !job->sending && now_us >= job->due_us
-          && job->incarnation == job->backend->incarnation)
+          && job->incarnation == job->backend->incarnation && job->backend->server != NULL)
         {
           job->due_us = now_us + EVENT_INTERVAL_US;
           if (job->stream)
@@ -282,8 +406,9 @@
     return false;
   proxy_set_target (backend->proxy, backend->port);
   backend->incarnation++;
-  backend->draining = false;
+  backend->draining = backend->says_leaving = false;
   backend->draining_since_us = 0;
+  backend->reject_requests = 0;
   register_backend (backend);
   return true;
 }
@@ -305,7 +430,23 @@
 void
 soak_backend_drain (SoakBackend *backend)
 {
-  backend->draining = true;
+  backend->draining = backend->says_leaving = true;
   backend->draining_since_us = soak_now_us ();
   register_backend (backend);
 }
+
+void
+soak_backend_leaving_passed_on (Soak *soak, unsigned daemon, const char *instance_id)
+{
+  unsigned index;
+  unsigned incarnation;
+  SoakNotice *notice;
+
+  if (sscanf (instance_id, "i-%u-%u", &index, &incarnation) != 2 || index >= SOAK_BACKENDS)
+    return;
+  notice = &soak->daemons[daemon].notices[index];
+  if (notice->incarnation != incarnation)
+    *notice = (SoakNotice){ .incarnation = incarnation };
+  if (notice->leaving_told_us == 0)
+    notice->leaving_told_us = soak_now_us ();
+}
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -1,4 +1,5 @@
 #include "caller.h"
+#include "backend.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #define RECOVERY_US 3000000       ///< time after a fault until the bounds hold again
 #define CONFIG_APPLY_US 2500000   ///< time until daemons have applied a configuration
 #define STARTUP_US 4000000        ///< time until a started daemon has applied the configuration
+#define DEADLY_DIVISOR 20         ///< one stream of so many has the deadly part
 #define FINAL_PHASE_US 3000000    ///< end of the run; nearly all of its requests must be served
 
 /// A request of a caller, or a probe.
@@ -32,8 +34,11 @@
 {
   SoakCall *call = context;
   const char *signature = tt_http_call_get_header (http, "response-signature");
+  const char *instance_id = tt_http_call_get_header (http, "x-instance");
 
   call->status = status;
+  if (instance_id != NULL && tt_http_call_get_header (http, "server-leaving") != NULL)
+    soak_backend_leaving_passed_on (call->soak, call->daemon->index, instance_id);
   call->signature_matches = signature != NULL && strcmp (signature, call->id) == 0;
 }
 
@@ -134,6 +139,8 @@
   soak->calls_in_flight--;
   if (call->record == NULL)
     check_probe (call);
+  else if (call->record->deadly)
+    ; // earns nothing; the backend servers check that it reaches few of them
   else if (error->code == 0 && call->status == 200)
     {
       check_success (call);
@@ -154,11 +161,12 @@
   char url[96];
   char id[64];
   char limit[32];
+  char prompt[64];
   const char *headers[] = { "Host: h.example",
                             "Authorization: Bearer key",
                             "Tenant: forged",
                             "Model: m",
-                            "Prefix-Hash: 1:800,2:400,3:200",
+                            prompt,
                             id,
                             limit,
                             NULL };
@@ -176,6 +184,9 @@
   call->sent_us = soak_now_us ();
   (void) snprintf (url, sizeof url, "http://127.0.0.1:%u%s", call->daemon->caller_port, path);
   (void) snprintf (id, sizeof id, "Attempt-Id: %s", call->id);
+  (void) snprintf (prompt, sizeof prompt, "Prefix-Hash: 1:800,%s:400,%llx:200",
+                   call->record != NULL && call->record->deadly ? "dead" : "2",
+                   (unsigned long long) call->soak->next_request + 16);
   (void) snprintf (limit, sizeof limit, "Deadline-Ms: %d", (int) TIME_LIMIT_MS);
   if (tt_http_client_start (call->soak->http, &request) != NULL)
     call->soak->calls_in_flight++;
@@ -213,7 +224,13 @@
   (void) snprintf (call->id, sizeof call->id, "r%llu", (unsigned long long) ++soak->next_request);
   call->record
       = soak_request_new (soak, call->id, (SoakKind) tt_rng_below (&soak->rng, SOAK_KIND_COUNT));
-  soak->sent++;
+  call->record->daemon = daemon->index;
+  call->record->sent_us = soak_now_us ();
+  if (soak->sends_deadly_requests && call->record->kind == SOAK_KIND_STREAMING
+      && soak_now_us () < soak->faults_end_us && tt_rng_below (&soak->rng, DEADLY_DIVISOR) == 0)
+    call->record->deadly = true;
+  else
+    soak->sent++;
   if (soak_now_us () > soak->end_us - FINAL_PHASE_US)
     soak->final_phase_sent++;
   start_call (call, paths[call->record->kind],
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -196,7 +196,7 @@
 resume_daemon (Soak *soak, unsigned target)
 {
   soak->daemons[target].paused = false;
-  soak->daemons[target].last_fault_us = soak_now_us ();
+  soak->daemons[target].last_fault_us = soak->daemons[target].resumed_us = soak_now_us ();
   if (soak->daemons[target].running)
     (void) uv_process_kill (&soak->daemons[target].process, SIGCONT);
 }
@@ -234,25 +234,45 @@
   schedule_fault_end (soak, target, 100, 1000, start_backend);
 }
 
+void
+soak_crash_backend (Soak *soak, unsigned target, bool remove_entry)
+{
+  soak->store.last_fault_us = soak_now_us ();
+  soak_backend_crash (&soak->backends[target], remove_entry);
+  schedule_fault_end (soak, target, 300, 3000, start_backend);
+}
+
+/// Lets a backend server leave, which its responses say. Its entry in the store says so too, or
+/// only later, or never.
+static void
+leave_backend (Soak *soak, unsigned target)
+{
+  soak_log (soak, "backend server %u starts leaving", target);
+  if (tt_rng_below (&soak->rng, 2) == 0)
+    soak_backend_drain (&soak->backends[target]);
+  soak->backends[target].says_leaving = true;
+  schedule_fault_end (soak, target, 3000, 6000, stop_drained_backend);
+}
+
 static void
 inject_backend_fault (Soak *soak, unsigned target)
 {
   SoakBackend *backend = &soak->backends[target];
-  uint64_t kind = tt_rng_below (&soak->rng, 4);
+  uint64_t kind = tt_rng_below (&soak->rng, 5);
 
-  if (backend->server == NULL || backend->draining)
+  if (backend->server == NULL || backend->says_leaving)
     return;
   if (kind == 0)
-    {
-      soak_log (soak, "backend server %u starts draining", target);
-      soak_backend_drain (backend);
-      schedule_fault_end (soak, target, 3000, 4500, stop_drained_backend);
-    }
+    leave_backend (soak, target);
   else if (kind == 1)
     {
       soak_log (soak, "backend server %u crashes", target);
-      soak_backend_crash (backend, tt_rng_below (&soak->rng, 2) == 0);
-      schedule_fault_end (soak, target, 300, 3000, start_backend);
+      soak_crash_backend (soak, target, tt_rng_below (&soak->rng, 2) == 0);
+    }
+  else if (kind == 4)
+    {
+      soak_log (soak, "backend server %u rejects requests", target);
+      backend->reject_requests += 1 + (unsigned) tt_rng_below (&soak->rng, 4);
     }
   else if (kind == 2)
     {
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -16,6 +16,9 @@
 /// daemon or a configuration change.
 void soak_inject_fault (Soak *soak);
 
+/// Crashes a backend server, which starts again later. @remove_entry: as in soak_backend_crash().
+void soak_crash_backend (Soak *soak, unsigned target, bool remove_entry);
+
 /// Performs one random step of planned maintenance: a backend server drains and is replaced, or the
 /// configuration or a settings file changes. Every bound must hold while the step is in progress.
 void soak_run_maintenance (Soak *soak);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -215,6 +215,7 @@
   for (int i = 0; i < SOAK_REQUEST_BUCKETS; i++)
     tt_list_init (&soak.request_buckets[i]);
   tt_rng_init (&soak.rng, soak.seed, 1);
+  soak.sends_deadly_requests = !soak.maintenance_only && tt_rng_below (&soak.rng, 2) == 0;
   soak.start_us = soak_now_us ();
   soak.end_us = soak.start_us + seconds * US_PER_S;
   soak.faults_end_us = soak.end_us - FAULT_FREE_US;
@@ -305,9 +306,10 @@
                     soak.final_phase_served, soak.final_phase_sent);
   if (soak.maintenance_only)
     soak_usage_check (&soak);
-  (void) printf ("seed %llu: sent %u, served %u, refused %u, failed %u, violations %u\n",
+  (void) printf ("seed %llu: sent %u, served %u, refused %u, failed %u, crashes on a part %u, "
+                 "violations %u\n",
                  (unsigned long long) soak.seed, soak.sent, soak.served, soak.refused, soak.failed,
-                 soak.violations);
+                 soak.deadly_crashes, soak.violations);
   clean_up ();
   g_free (program);
   return soak.violations > 0 ? 1 : 0;
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -41,7 +41,10 @@
   char id[SOAK_ID_MAX];
   SoakKind kind;
   unsigned executions; ///< number of times that backend servers accepted it
-  bool rejected; ///< not idempotent, and its caller got a 429 or 503: it must never be executed
+  bool rejected;   ///< not idempotent, and its caller got a 429 or 503: it must never be executed
+  bool deadly;     ///< a part of its prompt crashes each engine that begins to answer it
+  unsigned daemon; ///< index of the daemon that it was sent to
+  int64_t sent_us;
 } SoakRequest;
 
 /// Sums of the resource usage samples of a process.
@@ -52,6 +55,17 @@
   uint64_t descriptors;
 } SoakUsage;
 
+/// What a backend server told a daemon about itself. It binds the daemon until it is restarted or
+/// frozen.
+typedef struct
+{
+  unsigned incarnation;     ///< of the backend server that told it
+  int64_t leaving_told_us;  ///< when the daemon passed on a response that says "leaving"; 0 = not
+  int64_t rejected_us;      ///< when it was last rejected with Retry-After; 0 = not
+  int64_t retry_after_us;   ///< end of the time that the rejection named
+  unsigned requests_inside; ///< requests that arrived within that time
+} SoakNotice;
+
 /// A daemon process of the fleet.
 typedef struct
 {
@@ -63,6 +77,8 @@
   bool terminating;      ///< received SIGTERM
   int64_t last_fault_us; ///< when it was last sent a signal, or a fault of it began or ended
   int64_t started_us;
+  int64_t resumed_us; ///< end of the last freeze
+  SoakNotice notices[SOAK_BACKENDS];
   uint16_t caller_port;
   uint16_t operator_port;
   uint16_t peer_port;
@@ -84,7 +100,9 @@
   unsigned incarnation;        ///< number of starts; part of the instance id
   bool draining;               ///< its entry in the store is in the state draining
   int64_t draining_since_us;   ///< when the store accepted the draining entry; 0 = not draining
+  bool says_leaving;           ///< in all its responses
   unsigned truncate_responses; ///< number of upcoming responses to truncate
+  unsigned reject_requests;    ///< number of upcoming requests to reject with Retry-After
 } SoakBackend;
 
 /// An object of the store.
@@ -144,6 +162,10 @@
   unsigned final_phase_sent; ///< requests sent in the final phase, after recovery from all faults
   unsigned final_phase_served;
   unsigned violations;
+  bool sends_deadly_requests;
+  unsigned deadly_crashes; ///< engines that crashed on a deadly part
+  int64_t fifth_deadly_crash_us;
+  unsigned late_deadly_requests; ///< that reached engines later than DEADLY_STOP_US after it
   uv_timer_t request_timer;
   uv_timer_t fault_timer;
   uv_timer_t tick_timer; ///< drives the store, the backend servers and the probes
