test(soak): a rejection over a disturbed path does not bind the daemon

Trace: the path to the engine was one way when it rejected; the daemon's log has the request (3102), its silent stream (4008) and no 4012.

--- a/test/soak/backend.c
+++ b/test/soak/backend.c
@@ -158,6 +158,13 @@
              : NULL;
 }
 
+/// True if a response that was sent then may not have reached the daemon.
+static bool
+was_response_lost (const SoakBackend *backend, int64_t sent_us)
+{
+  return backend->path_fault_us >= sent_us && backend->path_fault_us < sent_us + REJECTED_SLACK_US;
+}
+
 /// Checks that a daemon keeps to what responses told it, whatever the store says.
 static void
 check_notices (const SoakBackend *backend, const SoakRequest *record)
@@ -175,8 +182,10 @@
                     record->id, backend->index, record->daemon,
                     (long long) (record->sent_us - notice->leaving_told_us) / 1000);
   notice = binding_notice (backend, record->daemon, told->rejected_us);
-  if (notice != NULL && notice->rejected_us != 0 && now_us > notice->rejected_us + REJECTED_SLACK_US
-      && now_us < notice->retry_after_us && ++notice->requests_inside > MAX_REQUESTS_INSIDE)
+  if (notice != NULL && notice->rejected_us != 0
+      && !was_response_lost (backend, notice->rejected_us)
+      && now_us > notice->rejected_us + REJECTED_SLACK_US && now_us < notice->retry_after_us
+      && ++notice->requests_inside > MAX_REQUESTS_INSIDE)
     soak_violation (soak, "BUDGET",
                     "%u requests reached backend server %u from daemon %u, %lld ms after it had "
                     "rejected one with Retry-After",
@@ -206,8 +215,9 @@
   backend->reject_requests--;
   if (notice->incarnation != backend->incarnation)
     *notice = (SoakNotice){ .incarnation = backend->incarnation };
-  // A longer time that was named before is still in force.
-  if (until_us > notice->retry_after_us)
+  // A longer time that was named before is still in force. A response over a disturbed path may not
+  // reach the daemon.
+  if (!backend->path_faulty && until_us > notice->retry_after_us)
     {
       notice->rejected_us = soak_now_us ();
       notice->retry_after_us = until_us;
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -282,6 +282,7 @@
   else
     {
       soak_log (soak, "backend server %u: connections reset", target);
+      backend->path_fault_us = soak_now_us ();
       proxy_reset (backend->proxy);
     }
 }
@@ -291,6 +292,8 @@
 {
   proxy_set_mode (soak->backends[target].proxy, PROXY_FORWARD);
   proxy_set_delay (soak->backends[target].proxy, 0);
+  soak->backends[target].path_faulty = false;
+  soak->backends[target].path_fault_us = soak_now_us ();
 }
 
 static void
@@ -300,6 +303,8 @@
   ProxyMode mode = (ProxyMode) tt_rng_below (&soak->rng, 4);
 
   soak_log (soak, "path to backend server %u: proxy mode %d", target, mode);
+  soak->backends[target].path_faulty = true;
+  soak->backends[target].path_fault_us = soak_now_us ();
   proxy_set_mode (proxy, mode);
   if (mode == PROXY_FORWARD)
     proxy_set_delay (proxy, 50 + (uint32_t) tt_rng_below (&soak->rng, 300));
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -101,6 +101,8 @@
   bool draining;               ///< its entry in the store is in the state draining
   int64_t draining_since_us;   ///< when the store accepted the draining entry; 0 = not draining
   bool says_leaving;           ///< in all its responses
+  bool path_faulty;            ///< the path from the daemons is disturbed
+  int64_t path_fault_us;       ///< when a fault of the path last began or ended, or a reset
   unsigned truncate_responses; ///< number of upcoming responses to truncate
   unsigned reject_requests;    ///< number of upcoming requests to reject with Retry-After
 } SoakBackend;
