--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -473,6 +473,8 @@
 
           if (change->revision <= after || strcmp (change->kind, kind) != 0)
             continue;
+          if (change->removed)
+            rig_record ("store: tells a watch that %s is removed", change->name);
           if (count++ > 0)
             appendf (&text, ",");
           appendf (&text, "{\"Removed\":%s,\"Object\":", change->removed ? "true" : "false");
