fix(recovery): a long refusal is judged before its first byte is relayed (REFUSED)

Cause: the promise of a status, Not-Executed and the retry of a failure were decided at the end of an answer. A plain answer above the buffer limit is relayed in parts, on a path without these decisions.

Change: reject_response() makes them once, before the first byte is relayed, for parts and for complete answers. A rejected answer that still arrives is cancelled; the breaker counts it.

The new tests failed before the change: no reply followed the first part of a long 503, the long 500 was not retried, and 20 long failures left the breaker's error rate at 0.

--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -46,7 +46,7 @@
   bool maybe_sent;     ///< FAILED: bytes of the request may have reached the peer
   bool exceeds_buffer; ///< PROGRESS: a plain response exceeds the buffer; it is relayed in parts
   bool event_stream;   ///< PROGRESS, DONE: the response is a stream of events
-  bool not_executed;   ///< DONE: the backend server reported that it did not run the request
+  bool not_executed;   ///< PROGRESS, DONE: the backend server did not run the request
   bool leaving;        ///< PROGRESS, DONE: the backend server says that it leaves
   uint32_t unavailable_ms; ///< PROGRESS, DONE: time for which the backend server wants no requests
   uint32_t last_event_id;  ///< id of the last complete event; 0 = none
--- a/src/tarragontrack/control/breaker.c
+++ b/src/tarragontrack/control/breaker.c
@@ -235,7 +235,9 @@
       return;
     }
   breaker->last_response_us = now_us;
-  if (!complete)
+  // A failure that exceeds the buffer counts once, when it is relayed or rejected.
+  if (failed ? attempt->state == TT_ATTEMPT_RELAYED || !(complete || event->exceeds_buffer)
+             : !complete)
     return;
   if (!failed)
     close_breaker (board, backend);
--- a/src/tarragontrack/control/recovery.c
+++ b/src/tarragontrack/control/recovery.c
@@ -178,37 +178,6 @@
          && !(is_success (event->status) && event->event_stream);
 }
 
-static void
-on_progress (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
-{
-  TtRequest *request = attempt->request;
-
-  attempt->last_progress_us = now_us;
-  if (event->exceeds_buffer && breaks_begun_response (attempt, event))
-    {
-      record_tried_backend (request, attempt->backend);
-      tt_attempt_cancel (board, attempt);
-      retry_or_finish (board, request, true, true,
-                       "the backend server did not go on with the answer", now_us);
-      return;
-    }
-  if (event->exceeds_buffer)
-    {
-      relay (board, attempt, now_us);
-      request->relayed = true;
-    }
-  if (event->tokens == 0)
-    return;
-  if (attempt->first_token_us == 0)
-    attempt->first_token_us = now_us;
-  attempt->tokens += event->tokens;
-  relay (board, attempt, now_us);
-  request->relayed = true;
-  request->relayed_tokens += event->tokens;
-  request->recovery.last_event_id = event->last_event_id;
-  tt_board_counter_add (board, TT_COUNT_TOKENS, event->tokens);
-}
-
 /// True for a status by which a daemon promises its caller that the request has not run and never
 /// will. A backend server makes this promise only with the "not executed" header, not by the status
 /// alone.
@@ -218,45 +187,91 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-static void
-on_done (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
+/// Decides by the head of a response, before any part of it is relayed, whether the caller may get
+/// it. One that it may not get ends the attempt, and the request is retried or finished.
+///
+/// ARGUMENTS  end_attempt: tt_attempt_close() for a complete response, tt_attempt_cancel() for one
+///            that is still arriving
+/// RETURN     true if the response is rejected
+static bool
+reject_response (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event,
+                 void (*end_attempt) (TtBoard *board, TtAttempt *attempt), int64_t now_us)
 {
   TtRequest *request = attempt->request;
 
-  record_tried_backend (request, attempt->backend);
   if (event->not_executed)
     {
       if (request->recovery.runs > 0)
         request->recovery.runs--;
-      tt_attempt_close (board, attempt);
+      record_tried_backend (request, attempt->backend);
+      end_attempt (board, attempt);
       retry_or_finish (board, request, true, false, "the backend server did not run it", now_us);
-      return;
+      return true;
     }
   // The failure may be specific to this backend server, so another one is tried.
   if (event->status >= 500 && request->idempotent && !request->relayed
       && (request->attempts.count > 1 || charge_retry (board, request, now_us)))
     {
-      tt_attempt_close (board, attempt);
+      record_tried_backend (request, attempt->backend);
+      end_attempt (board, attempt);
       log_attempt_ended (board, request, true, true, "the backend server failed",
                          request->attempts.count > 0 ? "other_open" : "again");
       if (request->attempts.count == 0)
         requeue (board, request);
-      return;
+      return true;
     }
   if (breaks_begun_response (attempt, event))
     {
-      tt_attempt_close (board, attempt);
+      record_tried_backend (request, attempt->backend);
+      end_attempt (board, attempt);
       retry_or_finish (board, request, true, true,
                        "the backend server did not go on with the answer", now_us);
-      return;
+      return true;
     }
-  if (implies_not_executed (event->status) && request->route.retry == TT_ROUTE_RETRY_NEVER)
+  if (implies_not_executed (event->status) && !request->idempotent)
     {
-      tt_attempt_close (board, attempt);
+      end_attempt (board, attempt);
       finish_request (board, request, TT_OUTCOME_UNKNOWN, 502,
                       "the backend server refused without saying whether it ran", now_us);
-      return;
+      return true;
+    }
+  return false;
+}
+
+static void
+on_progress (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+
+  attempt->last_progress_us = now_us;
+  if (event->exceeds_buffer)
+    {
+      if (request->winner != attempt
+          && reject_response (board, attempt, event, tt_attempt_cancel, now_us))
+        return;
+      relay (board, attempt, now_us);
+      request->relayed = true;
     }
+  if (event->tokens == 0)
+    return;
+  if (attempt->first_token_us == 0)
+    attempt->first_token_us = now_us;
+  attempt->tokens += event->tokens;
+  relay (board, attempt, now_us);
+  request->relayed = true;
+  request->relayed_tokens += event->tokens;
+  request->recovery.last_event_id = event->last_event_id;
+  tt_board_counter_add (board, TT_COUNT_TOKENS, event->tokens);
+}
+
+static void
+on_done (TtBoard *board, TtAttempt *attempt, const TtAttemptEvent *event, int64_t now_us)
+{
+  TtRequest *request = attempt->request;
+
+  if (request->winner != attempt
+      && reject_response (board, attempt, event, tt_attempt_close, now_us))
+    return;
   relay (board, attempt, now_us);
   tt_attempt_close (board, attempt);
   (void) tt_request_finish (board, request, TT_OUTCOME_COMPLETE, 0, 0, NULL);
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -30,6 +30,7 @@
   event.attempt.attempt_id = id;
   event.attempt.tokens = tokens;
   event.attempt.exceeds_buffer = exceeds_buffer;
+  event.attempt.not_executed = attempt->response_info.not_executed;
   event.attempt.status = attempt->status;
   event.attempt.event_stream = attempt->event_stream;
   event.attempt.last_event_id = attempt->scan.last_event_id;
--- a/test/control/breaker_test.c
+++ b/test/control/breaker_test.c
@@ -145,6 +145,27 @@
   routed_board_close (&routed);
 }
 
+/// Guards against a failure that does not count because its answer exceeds the buffer, so that the
+/// attempt is cancelled before the answer ends.
+static void
+long_failures_count (void)
+{
+  open_with_one_backend ();
+  for (int i = 0; i < 20; i++)
+    {
+      TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS };
+
+      (void) routed_board_send_request (&routed, "/once/x", 0, 5000);
+      event.attempt = (TtAttemptEvent){ .attempt_id = dispatched_attempt_id (),
+                                        .status = 503,
+                                        .exceeds_buffer = true };
+      routed_board_attempt_sent (&routed, event.attempt.attempt_id);
+      routed_board_step (&routed, 1, &event);
+    }
+  CU_ASSERT (find_backend ("p1")->breaker.error_rate > 0.5);
+  routed_board_close (&routed);
+}
+
 /// Guards against blame for a new process because of what an earlier one with the same id did: its
 /// silent attempts would open the breaker as soon as the new process is listed.
 static void
@@ -168,6 +189,7 @@
   { "breaker_opens_and_closes", open_and_close },
   { "open_breaker_of_only_backend_admits_requests", use_only_backend_when_open },
   { "high_error_rate_opens_breaker", open_on_high_error_rate },
+  { "long_failures_count", long_failures_count },
   { "partitioned_domain_gets_no_requests", avoid_partitioned_domain },
   { "status_421_opens_breaker", open_on_status_421 },
 };
--- a/test/control/recovery_test.c
+++ b/test/control/recovery_test.c
@@ -333,6 +333,63 @@
   routed_board_close (&routed);
 }
 
+/// Reports the head and the first part of a plain answer that exceeds the buffer.
+static void
+report_long_answer (TtAttemptAction attempt, uint32_t status, bool not_executed)
+{
+  TtEvent event = { .type = TT_EVENT_ATTEMPT_PROGRESS };
+
+  event.attempt = (TtAttemptEvent){ .attempt_id = attempt.attempt_id,
+                                    .status = status,
+                                    .exceeds_buffer = true,
+                                    .not_executed = not_executed };
+  routed_board_step (&routed, 1, &event);
+}
+
+/// Guards against relaying the first part of a long refusal that has no "not executed" header: its
+/// status promises the caller that a request that has run did not run (REFUSED).
+static void
+long_refusal_without_header_is_unknown (void)
+{
+  static const uint32_t statuses[] = { 408, 429, 503 };
+
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      TtAction action = { 0 };
+      TtAttemptAction attempt;
+
+      open_plain_servers ();
+      (void) routed_board_send_request (&routed, "/once/x", 0, 600);
+      attempt = next_sent_attempt ();
+      report_long_answer (attempt, statuses[i], false);
+      UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_REPLY, &action));
+      CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_UNKNOWN);
+      CU_ASSERT_EQUAL (action.reply.status, 502);
+      routed_board_close (&routed);
+    }
+}
+
+/// Guards against relaying the first part of a long refusal or failure although another backend
+/// server could run the request.
+static void
+long_failure_is_retried (void)
+{
+  TtAttemptAction first;
+
+  open_plain_servers ();
+  (void) routed_board_send_request (&routed, "/get/x", 0, 1500);
+  first = next_sent_attempt ();
+  report_long_answer (first, 500, false);
+  CU_ASSERT_NOT_EQUAL (next_attempt ().backend_id, first.backend_id);
+  routed_board_close (&routed);
+  open_plain_servers ();
+  (void) routed_board_send_request (&routed, "/get/x", 0, 1500);
+  first = next_sent_attempt ();
+  report_long_answer (first, 503, true);
+  CU_ASSERT_NOT_EQUAL (next_attempt ().backend_id, first.backend_id);
+  routed_board_close (&routed);
+}
+
 static const UnitTest tests[] = {
   { "once_request_is_not_retried", once_request_is_not_retried },
   { "unsent_request_is_retried", unsent_request_is_retried },
@@ -348,6 +405,8 @@
   { "other_answer_cuts_begun_stream", other_answer_cuts_begun_stream },
   { "refusal_without_header_is_unknown", refusal_without_header_is_unknown },
   { "long_response_is_relayed_in_parts", long_response_is_relayed_in_parts },
+  { "long_refusal_without_header_is_unknown", long_refusal_without_header_is_unknown },
+  { "long_failure_is_retried", long_failure_is_retried },
 };
 
 UNIT_MAIN ("recovery", tests)
