fix(routes): an empty list of client accounts asks for a key (CONFIG, ROUTE)

Cause: a key was asked for if the table had accounts, not if the document had the list. Change: the table keeps whether the document has the member.

Both new tests failed before the change (no 401; requires_key unset) and pass with it.

--- a/src/tarragontrack/board/route_defs.h
+++ b/src/tarragontrack/board/route_defs.h
@@ -82,6 +82,7 @@
   uint32_t account_count;
   TtRouteKey *keys; ///< sorted by hash
   uint32_t key_count;
+  bool requires_key; ///< the document has a list of client accounts, which may be empty
   TtRouteService services[TT_MAX_SERVICES];
   uint32_t service_count;
   uint32_t max_header_bytes;
--- a/src/tarragontrack/control/routes.c
+++ b/src/tarragontrack/control/routes.c
@@ -176,7 +176,7 @@
     }
   if (!tt_id128_is_zero (request->spec.bearer_key_hash))
     account = tt_route_find_account (table, request->spec.bearer_key_hash);
-  if (table->account_count > 0 && !route->keyless && account == NULL)
+  if (table->requires_key && !route->keyless && account == NULL)
     {
       reject (board, request, 401, 0, "no client account has this key");
       return;
--- a/src/tarragontrack/platform/table.c
+++ b/src/tarragontrack/platform/table.c
@@ -159,7 +159,9 @@
   size_t count;
   json_object *array = tt_field_array (spec, "Tenants", &count);
   size_t keys = count_keys (array, count);
+  json_object *member = NULL;
 
+  table->requires_key = json_object_object_get_ex (spec, "Tenants", &member) && member != NULL;
   if (keys > TT_MAX_ROUTE_KEYS || count > TT_MAX_ROUTE_KEYS)
     return set_error (error, TT_E_LIMIT, "too many client accounts or keys");
   table->accounts = calloc (count > 0 ? count : 1, sizeof *table->accounts);
--- a/test/control/routes_test.c
+++ b/test/control/routes_test.c
@@ -69,6 +69,29 @@
   routed_board_close (&routed);
 }
 
+/// Guards against running requests of any caller after the last client account was removed (CONFIG,
+/// ROUTE).
+static void
+empty_account_list_refuses_requests (void)
+{
+  TtStoreEntry entry = { .kind = TT_STORE_CONFIG, .name = "main", .valid = true };
+  TtStoreEntries entries
+      = { .kind = TT_STORE_CONFIG, .entries = &entry, .count = 1, .is_list = true, .revision = 2 };
+  TtEvent event = { .type = TT_EVENT_PLATFORM_RESPONSE, .platform.entries = &entries };
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  entry.table = routed_board_new_table (2);
+  entry.table->account_count = 0;
+  entry.table->key_count = 0;
+  routed_board_step (&routed, 1, &event);
+  (void) routed_board_send_request (&routed, "/once/x", 0, 600);
+  CU_ASSERT_EQUAL (next_reply ().status, 401);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_DISPATCH), 0);
+  routed_board_close (&routed);
+}
+
 /// Guards against accepting requests on persistent connections after the announcement period of a
 /// shutdown and then truncating their responses (raagmala-sync, trouble-2), and against a crash
 /// during shutdown.
@@ -143,6 +166,7 @@
 }
 
 static const UnitTest tests[] = {
+  { "empty_account_list_refuses_requests", empty_account_list_refuses_requests },
   { "no_configuration_yet", no_configuration_yet },
   { "older_table_is_ignored", older_table_is_ignored },
   { "unroutable_requests_are_refused", unroutable_requests_are_refused },
--- a/test/platform/table_test.c
+++ b/test/platform/table_test.c
@@ -82,9 +82,26 @@
   CU_ASSERT_PTR_NULL (parse ("{\"Version\":7,\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[1]}]}"));
 }
 
+/// Guards against running requests with any key once a configuration takes the last client account
+/// away: an empty list of accounts is a list, and only its absence makes keys superfluous.
+static void
+test_empty_account_list (void)
+{
+  TtRouteTable *table = parse ("{\"Version\":9,\"Tenants\":[]}");
+
+  UNIT_REQUIRE (table != NULL);
+  CU_ASSERT (table->requires_key);
+  tt_route_table_free (table);
+  table = parse ("{\"Version\":9}");
+  UNIT_REQUIRE (table != NULL);
+  CU_ASSERT_FALSE (table->requires_key);
+  tt_route_table_free (table);
+}
+
 static const UnitTest tests[] = {
   { "complete_configuration", test_complete_configuration },
   { "retry_policy", test_retry_policy },
+  { "empty_account_list", test_empty_account_list },
   { "malformed_configurations", test_malformed_configurations },
 };
 
--- a/test/support/routed_board.c
+++ b/test/support/routed_board.c
@@ -114,6 +114,7 @@
   table->account_count = 1;
   table->keys[0].hash = tt_hash_id128 (0, "k", 1);
   table->key_count = 1;
+  table->requires_key = true;
   (void) snprintf (table->services[0].name, sizeof table->services[0].name, ROUTED_ENGINE_SERVICE);
   table->services[0].id = tt_hash_string (ROUTED_ENGINE_SERVICE);
   table->services[0].engine = true;
