--- a/bench/capacity/parts.c
+++ b/bench/capacity/parts.c
@@ -14,7 +14,8 @@
   MAX_REQUESTS = 4096,
   MAX_ATTEMPTS = 8192,
   MAX_ACCOUNTS = 2048,
-  LENGTH_ENTRIES = 8192
+  LENGTH_ENTRIES = 8192,
+  SERVICES = 64 ///< of a fleet; allocated one by one
 };
 
 typedef struct
@@ -33,7 +34,7 @@
   { "account counts of members", sizeof (TtMemberAccount), TT_MAX_MEMBER_ACCOUNTS },
   { "members", sizeof (TtMember), TT_MAX_MEMBERS },
   { "backend servers", sizeof (TtBackendServer), TT_MAX_BACKENDS },
-  { "services", sizeof (TtPool), TT_MAX_SERVICES },
+  { "services", sizeof (TtPool), SERVICES },
   { "loans", sizeof (TtSlotLease), TT_MAX_SLOT_LEASES },
   { "demands", sizeof (TtShareDemand), TT_MAX_SHARE_DEMANDS },
   { "claim shards", sizeof (TtClaimShard), TT_CLAIM_SHARDS },
--- a/src/tarragontrack/board/backend.c
+++ b/src/tarragontrack/board/backend.c
@@ -1,5 +1,6 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/name.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,21 +10,27 @@
   TtBackendSection *section = &board->backends;
 
   section->backend_records = calloc (TT_MAX_BACKENDS, sizeof *section->backend_records);
-  section->pool_records = calloc (TT_MAX_SERVICES, sizeof *section->pool_records);
-  if (section->backend_records == NULL || section->pool_records == NULL)
+  if (section->backend_records == NULL)
     return TT_E_NO_MEMORY;
   for (uint32_t i = 0; i < TT_MAX_BACKENDS; i++)
     tt_list_append (&section->free_backends, &section->backend_records[i].link);
-  for (uint32_t i = 0; i < TT_MAX_SERVICES; i++)
-    tt_list_append (&section->free_pools, &section->pool_records[i].link);
   return TT_OK;
 }
 
+static void
+free_pool (TtBoard *board, TtPool *pool)
+{
+  tt_list_remove (&board->backends.pools, &pool->link);
+  free (pool->name);
+  free (pool);
+}
+
 void
 tt_backend_close (TtBoard *board)
 {
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    free_pool (board, TT_CONTAINER_OF (it, TtPool, link));
   free (board->backends.backend_records);
-  free (board->backends.pool_records);
 }
 
 TtBackendServer *
@@ -99,19 +106,22 @@
 }
 
 TtPool *
-tt_pool_new (TtBoard *board, uint64_t id)
+tt_pool_new (TtBoard *board, uint64_t id, const char *name)
 {
-  TtLink *link = tt_list_pop (&board->backends.free_pools);
-  TtPool *pool;
+  TtPool *pool = calloc (1, sizeof *pool);
 
-  if (link == NULL)
+  if (pool != NULL)
+    pool->name = strdup (name);
+  if (pool == NULL || pool->name == NULL)
     {
+      free (pool);
       tt_board_counter_add (board, TT_COUNT_POOL_FULL, 1);
       return NULL;
     }
-  pool = TT_CONTAINER_OF (link, TtPool, link);
-  memset (pool, 0, sizeof *pool);
   pool->id = id;
+  pool->spec.id = id;
+  tt_name_abbreviate (pool->spec.name, name);
+  tt_link_init (&pool->link);
   tt_list_init (&pool->backends);
   tt_list_init (&pool->share.demands);
   for (int priority = 0; priority < TT_PRIORITY_COUNT; priority++)
@@ -119,3 +129,15 @@
   tt_list_append (&board->backends.pools, &pool->link);
   return pool;
 }
+
+void
+tt_pool_free_unused (TtBoard *board)
+{
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    {
+      TtPool *pool = TT_CONTAINER_OF (it, TtPool, link);
+
+      if (!pool->configured && pool->backends.count == 0 && pool->request_count == 0)
+        free_pool (board, pool);
+    }
+}
--- a/src/tarragontrack/board/backend.h
+++ b/src/tarragontrack/board/backend.h
@@ -1,6 +1,6 @@
 /// Lookup and allocation of backend servers and pools. Only the controller `roster` or, on a board
 /// with a routing table, the controllers `registry` and `routes` allocate them. `roster` and
-/// `registry` also free backend servers; pools are never freed.
+/// `registry` also free backend servers, and `routes` frees pools that are no longer used.
 #pragma once
 
 #include "tarragontrack/board/board_defs.h"
@@ -27,5 +27,10 @@
 /// Looks up the pool of a service by the hash of the service's name; NULL if unknown.
 TtPool *tt_pool_find (TtBoard *board, uint64_t id);
 
-/// Allocates a pool; NULL if TT_MAX_SERVICES are in use.
-TtPool *tt_pool_new (TtBoard *board, uint64_t id);
+/// Allocates a pool for a service, given by the hash of its name and the name; NULL if memory could
+/// not be allocated.
+TtPool *tt_pool_new (TtBoard *board, uint64_t id, const char *name);
+
+/// Frees the pools of services that the routing table does not have, and to which neither backend
+/// servers nor requests belong.
+void tt_pool_free_unused (TtBoard *board);
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -66,10 +66,13 @@
 /// with a routing table, from that table or the registry.
 struct TtPool
 {
-  TtLink link; ///< on TtBackendSection.pools or .free_pools
+  TtLink link; ///< on TtBackendSection.pools
   uint64_t id; ///< hash of the service's name
   TtServiceSpec spec;
   uint64_t team_id;
+  char *name;                     ///< full name of the service; that of `spec` is abbreviated
+  bool configured;                ///< the routing table has the service
+  uint32_t request_count;         ///< requests that belong to the pool
   TtList backends;                ///< TtBackendServer.pool_link, all failure domains
   TtHistogram first_byte_latency; ///< latency until the first part of a response
   TtHistogram response_latency;   ///< latency until the response is complete
@@ -82,15 +85,12 @@
   TtPlacePool place;
 };
 
-/// BOUNDS     TT_MAX_BACKENDS backend servers, TT_MAX_SERVICES pools; further ones are rejected and
-/// counted
+/// BOUNDS     TT_MAX_BACKENDS backend servers; further ones are rejected and counted
 typedef struct
 {
   TtList all;                         ///< TtBackendServer.link
   TtList pools;                       ///< TtPool.link
   TtList buckets[TT_BACKEND_BUCKETS]; ///< TtBackendServer.bucket_link, by id
   TtList free_backends;
-  TtList free_pools;
   TtBackendServer *backend_records;
-  TtPool *pool_records;
 } TtBackendSection;
--- a/src/tarragontrack/board/board.c
+++ b/src/tarragontrack/board/board.c
@@ -27,7 +27,6 @@
   tt_list_init (&board->backends.all);
   tt_list_init (&board->backends.pools);
   tt_list_init (&board->backends.free_backends);
-  tt_list_init (&board->backends.free_pools);
   for (int i = 0; i < TT_BACKEND_BUCKETS; i++)
     tt_list_init (&board->backends.buckets[i]);
   if (tt_request_pools_init (board) < 0)
--- a/src/tarragontrack/board/limits_defs.h
+++ b/src/tarragontrack/board/limits_defs.h
@@ -12,7 +12,6 @@
   TT_CURVE_KEY_SIZE = 41,       ///< bytes of a ZeroMQ CURVE key in Z85, including the final NUL
   TT_MAX_DOMAINS = 32,          ///< failure domains in a fleet
   TT_MAX_TEAMS = 64,            ///< team documents in a fleet
-  TT_MAX_SERVICES = 64,         ///< services (models and plain services) in a fleet
   TT_MAX_DOCUMENT_BYTES = 65536 ///< length of one team document's text
 };
 
--- /dev/null
+++ b/src/tarragontrack/board/name.c
@@ -0,0 +1,26 @@
+#include "tarragontrack/board/name.h"
+#include "tarragontrack/board/hash.h"
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SUFFIX_LENGTH = 9 ///< "~" and 8 hexadecimal digits
+};
+
+void
+tt_name_abbreviate (char *target, const char *name)
+{
+  size_t length = strlen (name);
+
+  if (length < TT_NAME_MAX)
+    {
+      memcpy (target, name, length + 1);
+      return;
+    }
+  length = TT_NAME_MAX - 1 - SUFFIX_LENGTH;
+  while (length > 0 && ((unsigned char) name[length] & 0xc0) == 0x80)
+    length--;
+  (void) snprintf (target, TT_NAME_MAX, "%.*s~%08x", (int) length, name,
+                   (unsigned) tt_hash_string (name));
+}
--- /dev/null
+++ b/src/tarragontrack/board/name.h
@@ -0,0 +1,13 @@
+/// Names of services, client accounts and backend servers, which may have any length, in records of
+/// fixed size.
+#pragma once
+
+#include "tarragontrack/board/limits_defs.h"
+
+/// tt_name_abbreviate - copies a name for logs and metrics
+///
+/// ARGUMENTS  target: TT_NAME_MAX bytes
+/// NOTES      a longer name is cut at a character of UTF-8 and ends with "~" and a part of its
+/// hash,
+///            so that names with the same beginning stay distinct
+void tt_name_abbreviate (char *target, const char *name);
--- a/src/tarragontrack/board/request.c
+++ b/src/tarragontrack/board/request.c
@@ -35,6 +35,8 @@
 void
 tt_request_pools_free (TtBoard *board)
 {
+  for (uint32_t i = 0; board->requests.pool != NULL && i < board->requests.request_capacity; i++)
+    free (board->requests.pool[i].route.account);
   free (board->requests.buckets);
   free (board->requests.pool);
   free (board->requests.attempts);
@@ -67,6 +69,16 @@
   return request;
 }
 
+void
+tt_request_set_pool (TtRequest *request, TtPool *pool)
+{
+  if (request->pool != NULL)
+    request->pool->request_count--;
+  request->pool = pool;
+  if (pool != NULL)
+    pool->request_count++;
+}
+
 void
 tt_request_set_stage (TtBoard *board, TtRequest *request, TtStage stage)
 {
@@ -247,5 +259,8 @@
 tt_request_free (TtBoard *board, TtRequest *request)
 {
   tt_list_remove (request_bucket (board, request->spec.request_id), &request->bucket_link);
+  tt_request_set_pool (request, NULL);
+  free (request->route.account);
+  request->route.account = NULL;
   tt_request_set_stage (board, request, TT_STAGE_FREE);
 }
--- a/src/tarragontrack/board/request.h
+++ b/src/tarragontrack/board/request.h
@@ -14,6 +14,9 @@
 /// RETURN     the request, or NULL if the pool of TtBoardConfig.max_requests records is exhausted
 TtRequest *tt_request_new (TtBoard *board, const TtRequestSpec *spec, int64_t now_us);
 
+/// Assigns a request to a pool, which is not freed as long as requests belong to it; NULL = none.
+void tt_request_set_pool (TtRequest *request, TtPool *pool);
+
 /// Moves a request to the end of a stage's list and marks the board dirty.
 void tt_request_set_stage (TtBoard *board, TtRequest *request, TtStage stage);
 
--- a/src/tarragontrack/board/route.c
+++ b/src/tarragontrack/board/route.c
@@ -5,18 +5,26 @@
 
 enum
 {
-  HOST_MAX = 256 ///< bytes of a host name including the terminating NUL; DNS allows 253
+  HOST_CHUNK_BYTES = 256 ///< part of a host name that is hashed at once; DNS names fit into one
 };
 
 uint64_t
 tt_route_host_hash (const char *host)
 {
-  char lower[HOST_MAX];
-  size_t length = 0;
+  char lower[HOST_CHUNK_BYTES];
+  size_t length = strcspn (host, ":");
+  uint64_t hash = 0;
 
-  for (; host[length] != '\0' && host[length] != ':' && length < sizeof lower - 1; length++)
-    lower[length] = (char) tolower ((unsigned char) host[length]);
-  return tt_hash_bytes (lower, length);
+  for (size_t start = 0; start == 0 || start < length; start += sizeof lower)
+    {
+      size_t size = length - start < sizeof lower ? length - start : sizeof lower;
+
+      for (size_t i = 0; i < size; i++)
+        lower[i] = (char) tolower ((unsigned char) host[start + i]);
+      hash = start == 0 ? tt_hash_bytes (lower, size)
+                        : tt_hash_pair (hash, tt_hash_bytes (lower, size));
+    }
+  return hash;
 }
 
 static int
@@ -57,18 +65,30 @@
     qsort (table->keys, table->key_count, sizeof *table->keys, compare_keys);
 }
 
+static void
+free_route (TtRoute *route)
+{
+  for (uint32_t i = 0; i < route->target_count; i++)
+    free (route->targets[i].service);
+  free (route->targets);
+  free (route->host);
+  free (route->prefix);
+}
+
 void
 tt_route_table_free (TtRouteTable *table)
 {
   if (table == NULL)
     return;
   for (uint32_t i = 0; i < table->route_count; i++)
-    {
-      free (table->routes[i].host);
-      free (table->routes[i].prefix);
-    }
+    free_route (&table->routes[i]);
+  for (uint32_t i = 0; i < table->account_count; i++)
+    free (table->accounts[i].name);
+  for (uint32_t i = 0; i < table->service_count; i++)
+    free (table->services[i].name);
   free (table->routes);
   free (table->accounts);
+  free (table->services);
   free (table->keys);
   free (table->text);
   free (table);
--- a/src/tarragontrack/board/route_defs.h
+++ b/src/tarragontrack/board/route_defs.h
@@ -8,13 +8,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum
-{
-  TT_MAX_ROUTE_TARGETS = 8, ///< services over which one route splits its requests
-  TT_MAX_ROUTES = 16384,    ///< in one table
-  TT_MAX_ROUTE_KEYS = 8192  ///< keys of client accounts in one table
-};
-
 /// Whether a request may be sent again after an attempt that may have run.
 typedef enum
 {
@@ -26,7 +19,7 @@
 typedef struct
 {
   uint64_t service_id; ///< hash of the service's name
-  char service[TT_NAME_MAX];
+  char *service;
   uint32_t weight;
 } TtRouteTarget;
 
@@ -46,12 +39,12 @@
   uint32_t event_gap_ms; ///< target for the longest gap between events; 0 = not configured
   uint32_t priority;     ///< 0 is the most urgent
   uint32_t target_count;
-  TtRouteTarget targets[TT_MAX_ROUTE_TARGETS];
+  TtRouteTarget *targets; ///< services over which the route splits its requests
 } TtRoute;
 
 typedef struct
 {
-  char name[TT_NAME_MAX];
+  char *name;  ///< NULL: the name cannot be sent in a header
   uint64_t id; ///< hash of the name
   bool has_priority;
   uint32_t priority; ///< overrides the route's priority
@@ -65,8 +58,8 @@
 
 typedef struct
 {
-  char name[TT_NAME_MAX];
-  uint64_t id;
+  char *name;
+  uint64_t id; ///< hash of the name
   bool engine; ///< the backend servers are model engines
 } TtRouteService;
 
@@ -83,7 +76,7 @@
   TtRouteKey *keys; ///< sorted by hash
   uint32_t key_count;
   bool requires_key; ///< the document has a list of client accounts, which may be empty
-  TtRouteService services[TT_MAX_SERVICES];
+  TtRouteService *services;
   uint32_t service_count;
   uint32_t max_header_bytes;
   uint32_t max_body_bytes;
@@ -104,6 +97,7 @@
   uint32_t event_gap_ms;
   uint64_t table_version;
   uint64_t account_id; ///< 0 = none
+  char *account;       ///< full name of the client account, freed with the request; NULL = none
   int64_t deadline_us; ///< deadline of the request
 } TtRouteRequest;
 
--- a/src/tarragontrack/control/admit.c
+++ b/src/tarragontrack/control/admit.c
@@ -105,7 +105,7 @@
   const TtDocumentSlot *slot;
   const TtDocument *document;
 
-  request->pool = tt_pool_find (board, tt_hash_string (spec->service));
+  tt_request_set_pool (request, tt_pool_find (board, tt_hash_string (spec->service)));
   slot = request->pool != NULL ? find_document_slot (board, request->pool->team_id) : NULL;
   document = slot != NULL ? slot->document : NULL;
   if (document == NULL)
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -51,13 +51,9 @@
 
   if (pool != NULL)
     return pool;
-  pool = tt_pool_new (board, id);
+  pool = tt_pool_new (board, id, service);
   if (pool != NULL)
-    {
-      (void) snprintf (pool->spec.name, sizeof pool->spec.name, "%s", service);
-      pool->spec.id = id;
-      pool->spec.type = TT_SERVICE_PLAIN;
-    }
+    pool->spec.type = TT_SERVICE_PLAIN;
   return pool;
 }
 
--- a/src/tarragontrack/control/roster.c
+++ b/src/tarragontrack/control/roster.c
@@ -82,7 +82,7 @@
           TtPool *pool = tt_pool_find (board, document->services[s].id);
 
           if (pool == NULL)
-            pool = tt_pool_new (board, document->services[s].id);
+            pool = tt_pool_new (board, document->services[s].id, document->services[s].name);
           if (pool == NULL || (pool->team_id != 0 && pool->team_id < document->team_id))
             continue;
           pool->spec = document->services[s];
--- a/src/tarragontrack/control/routes.c
+++ b/src/tarragontrack/control/routes.c
@@ -1,13 +1,15 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/board/name.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/board/route.h"
 #include "tarragontrack/control/budget.h"
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/control/drain.h"
 #include "tarragontrack/control/retry_after.h"
-#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 static void
 close_routes (void *context, TtBoard *board)
@@ -17,22 +19,22 @@
   tt_route_table_free (board->routes.previous_table);
 }
 
-/// Creates the pools of a table's services. Pools are never removed, because requests routed by an
-/// older version may refer to them.
+/// Creates the pools of a table's services.
 static void
 create_pools (TtBoard *board, const TtRouteTable *table)
 {
+  TT_LIST_FOREACH (&board->backends.pools, it)
+    TT_CONTAINER_OF (it, TtPool, link)->configured = false;
   for (uint32_t i = 0; i < table->service_count; i++)
     {
       const TtRouteService *service = &table->services[i];
       TtPool *pool = tt_pool_find (board, service->id);
 
       if (pool == NULL)
-        pool = tt_pool_new (board, service->id);
+        pool = tt_pool_new (board, service->id, service->name);
       if (pool == NULL)
         continue;
-      (void) snprintf (pool->spec.name, sizeof pool->spec.name, "%s", service->name);
-      pool->spec.id = service->id;
+      pool->configured = true;
       pool->spec.type = service->engine ? TT_SERVICE_MODEL : TT_SERVICE_PLAIN;
     }
 }
@@ -144,7 +146,8 @@
   if (account == NULL)
     return;
   request->route.account_id = account->id;
-  (void) snprintf (request->spec.account, sizeof request->spec.account, "%s", account->name);
+  request->route.account = strdup (account->name);
+  tt_name_abbreviate (request->spec.account, account->name);
   if (account->has_priority)
     request->priority = account->priority;
 }
@@ -181,10 +184,20 @@
       reject (board, request, 401, 0, "no client account has this key");
       return;
     }
+  if (account != NULL && account->name == NULL)
+    {
+      reject (board, request, 503, 0, "the name of the client account cannot be sent in a header");
+      return;
+    }
   apply_route (request, table, route, account);
+  if (account != NULL && request->route.account == NULL)
+    {
+      reject (board, request, 503, tt_retry_after_record_ms (board), "out of memory");
+      return;
+    }
   target = select_target (route, tt_hash_string (request->spec.external_id));
-  (void) snprintf (request->spec.service, sizeof request->spec.service, "%s", target->service);
-  request->pool = tt_pool_find (board, target->service_id);
+  tt_name_abbreviate (request->spec.service, target->service);
+  tt_request_set_pool (request, tt_pool_find (board, target->service_id));
   if (request->pool == NULL)
     reject (board, request, 503, tt_retry_after_news_ms (board, now_us),
             "the service has no backend servers");
@@ -231,8 +244,18 @@
     reject_without_record (board, event->request);
 }
 
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context, (void) now_us;
+  if (board->routes.table != NULL
+      && board->backends.pools.count > board->routes.table->service_count)
+    tt_pool_free_unused (board);
+}
+
 TtController
 tt_routes_controller (void)
 {
-  return (TtController){ .name = "routes", .close = close_routes, .on_event = on_event };
+  return (
+      TtController){ .name = "routes", .close = close_routes, .on_event = on_event, .run = run };
 }
--- a/src/tarragontrack/platform/dialect.c
+++ b/src/tarragontrack/platform/dialect.c
@@ -217,8 +217,8 @@
     add (target, TT_WIRE_EXPECTED_BACKEND, backend->name);
   if (request == NULL)
     return;
-  if (request->spec.account[0] != '\0')
-    add (target, TT_WIRE_ACCOUNT, request->spec.account);
+  if (request->route.account != NULL)
+    add (target, TT_WIRE_ACCOUNT, request->route.account);
   source = tt_backend_find (board, request->dispatch.prefix_source_id);
   if (source != NULL)
     {
--- a/src/tarragontrack/platform/fields.c
+++ b/src/tarragontrack/platform/fields.c
@@ -17,6 +17,16 @@
   return json_object_get_string (value);
 }
 
+bool
+tt_field_is_plain (json_object *object, const char *name)
+{
+  json_object *value = NULL;
+
+  return json_object_object_get_ex (object, name, &value)
+         && json_object_is_type (value, json_type_string)
+         && strlen (json_object_get_string (value)) == (size_t) json_object_get_string_len (value);
+}
+
 bool
 tt_field_copy (json_object *object, const char *name, char *target, size_t size)
 {
--- a/src/tarragontrack/platform/fields.h
+++ b/src/tarragontrack/platform/fields.h
@@ -10,6 +10,9 @@
 /// Returns a string member; NULL if it is absent.
 const char *tt_field_string (json_object *object, const char *name);
 
+/// True if the member is a string without NUL bytes.
+bool tt_field_is_plain (json_object *object, const char *name);
+
 /// Copies a string member. RETURN false if it is absent, empty or too long.
 bool tt_field_copy (json_object *object, const char *name, char *target, size_t size);
 
--- a/src/tarragontrack/platform/table.c
+++ b/src/tarragontrack/platform/table.c
@@ -19,16 +19,29 @@
   return tt_hash_id128 (KEY_SCOPE, key, size);
 }
 
+/// Reads a name. Names have any length and may have any content; one with a NUL byte differs from
+/// all others by its hash. RETURN false if the member is no string, or memory could not be
+/// allocated.
 static bool
-add_target (TtRoute *route, const char *service, uint32_t weight)
+parse_name (json_object *object, const char *member, char **name, uint64_t *id)
+{
+  json_object *value = NULL;
+
+  if (!json_object_object_get_ex (object, member, &value)
+      || !json_object_is_type (value, json_type_string))
+    return false;
+  *name = strdup (json_object_get_string (value));
+  *id = tt_hash_bytes (json_object_get_string (value), (size_t) json_object_get_string_len (value));
+  return *name != NULL;
+}
+
+static bool
+add_target (TtRoute *route, json_object *object, uint32_t weight)
 {
   TtRouteTarget *target = &route->targets[route->target_count];
 
-  if (service == NULL || service[0] == '\0' || strlen (service) >= sizeof target->service
-      || route->target_count == TT_MAX_ROUTE_TARGETS)
+  if (!parse_name (object, "Service", &target->service, &target->service_id))
     return false;
-  memcpy (target->service, service, strlen (service) + 1);
-  target->service_id = tt_hash_string (service);
   target->weight = weight;
   route->target_count++;
   return true;
@@ -41,15 +54,17 @@
   size_t count;
   json_object *array = tt_field_array (object, "Backends", &count);
 
+  route->targets = calloc (count > 0 ? count : 1, sizeof *route->targets);
+  if (route->targets == NULL)
+    return false;
   for (size_t i = 0; i < count; i++)
     {
       json_object *entry = json_object_array_get_idx (array, i);
 
-      if (!add_target (route, tt_field_string (entry, "Service"),
-                       tt_field_number32 (entry, "Weight", 0)))
+      if (!add_target (route, entry, tt_field_number32 (entry, "Weight", 0)))
         return false;
     }
-  return count > 0 || add_target (route, tt_field_string (object, "Service"), 1);
+  return count > 0 || add_target (route, object, 1);
 }
 
 static TtRouteRetry
@@ -95,8 +110,6 @@
   size_t count;
   json_object *array = tt_field_array (spec, "Routes", &count);
 
-  if (count > TT_MAX_ROUTES)
-    return set_error (error, TT_E_LIMIT, "too many routes");
   table->routes = calloc (count > 0 ? count : 1, sizeof *table->routes);
   if (table->routes == NULL)
     return set_error (error, TT_E_NO_MEMORY, "routes");
@@ -126,6 +139,20 @@
   return total;
 }
 
+/// True if a name reaches a backend server unchanged as the value of a header.
+static bool
+is_header_value (const char *name)
+{
+  size_t length = strlen (name);
+
+  if (length > 0 && (name[0] == ' ' || name[length - 1] == ' '))
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if ((unsigned char) name[i] < ' ' || name[i] == 0x7f)
+      return false;
+  return true;
+}
+
 static bool
 parse_account (json_object *object, TtRouteTable *table, uint32_t index)
 {
@@ -133,9 +160,13 @@
   size_t count;
   json_object *keys = tt_field_array (object, "ApiKeys", &count);
 
-  if (!tt_field_copy (object, "Name", account->name, sizeof account->name))
+  if (!parse_name (object, "Name", &account->name, &account->id))
     return false;
-  account->id = tt_hash_string (account->name);
+  if (!is_header_value (account->name) || !tt_field_is_plain (object, "Name"))
+    {
+      free (account->name);
+      account->name = NULL;
+    }
   account->has_priority = tt_field_is_number (object, "Priority");
   account->priority = tt_field_number32 (object, "Priority", 0);
   for (size_t i = 0; i < count; i++)
@@ -162,8 +193,6 @@
   json_object *member = NULL;
 
   table->requires_key = json_object_object_get_ex (spec, "Tenants", &member) && member != NULL;
-  if (keys > TT_MAX_ROUTE_KEYS || count > TT_MAX_ROUTE_KEYS)
-    return set_error (error, TT_E_LIMIT, "too many client accounts or keys");
   table->accounts = calloc (count > 0 ? count : 1, sizeof *table->accounts);
   table->keys = calloc (keys > 0 ? keys : 1, sizeof *table->keys);
   if (table->accounts == NULL || table->keys == NULL)
@@ -180,17 +209,17 @@
   size_t count;
   json_object *array = tt_field_array (spec, "Services", &count);
 
-  if (count > TT_MAX_SERVICES)
-    return set_error (error, TT_E_LIMIT, "too many services");
+  table->services = calloc (count > 0 ? count : 1, sizeof *table->services);
+  if (table->services == NULL)
+    return set_error (error, TT_E_NO_MEMORY, "services");
   for (size_t i = 0; i < count; i++)
     {
       json_object *object = json_object_array_get_idx (array, i);
       TtRouteService *service = &table->services[i];
       json_object *engine = NULL;
 
-      if (!tt_field_copy (object, "Name", service->name, sizeof service->name))
+      if (!parse_name (object, "Name", &service->name, &service->id))
         return set_error (error, TT_E_MALFORMED, "expected a service with a name");
-      service->id = tt_hash_string (service->name);
       service->engine = json_object_object_get_ex (object, "Engine", &engine)
                         && json_object_is_type (engine, json_type_object);
       table->service_count++;
--- a/test/control/claim_test.c
+++ b/test/control/claim_test.c
@@ -63,7 +63,8 @@
   (void) snprintf (spec.service, sizeof spec.service, "chat");
   request = tt_request_new (board, &spec, now_us);
   UNIT_REQUIRE (request != NULL);
-  request->pool = TT_CONTAINER_OF (tt_list_first (&board->backends.pools), TtPool, link);
+  tt_request_set_pool (request,
+                       TT_CONTAINER_OF (tt_list_first (&board->backends.pools), TtPool, link));
   request->start_deadline_us = now_us + 10 * TT_SECOND_US;
   tt_request_set_stage (board, request, TT_STAGE_CLAIMING);
   return request;
--- a/test/control/routes_test.c
+++ b/test/control/routes_test.c
@@ -1,6 +1,9 @@
 #include "support/routed_board.h"
 #include "support/unit.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/error_defs.h"
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static RoutedBoard routed;
@@ -92,6 +95,66 @@
   routed_board_close (&routed);
 }
 
+/// Steps the board with a configuration in which one service is replaced by another.
+static void
+configure_service (uint64_t version, const char *service)
+{
+  TtStoreEntry entry = { .kind = TT_STORE_CONFIG, .name = "main", .valid = true };
+  TtStoreEntries entries = {
+    .kind = TT_STORE_CONFIG, .entries = &entry, .count = 1, .is_list = true, .revision = version
+  };
+  TtEvent event = { .type = TT_EVENT_PLATFORM_RESPONSE, .platform.entries = &entries };
+  TtRouteService *last;
+
+  entry.table = routed_board_new_table (version);
+  last = &entry.table->services[entry.table->service_count - 1];
+  free (last->name);
+  last->name = strdup (service);
+  last->id = tt_hash_string (service);
+  routed_board_step (&routed, 1, &event);
+}
+
+/// Guards against a limit on the services in a process's life: from the 65th name on, no request of
+/// a new service was served (CONFIG).
+static void
+services_come_and_go (void)
+{
+  char name[TT_NAME_MAX];
+
+  routed_board_open (&routed);
+  for (unsigned i = 0; i < 200; i++)
+    {
+      (void) snprintf (name, sizeof name, "service-%u", i);
+      configure_service (i + 1, name);
+      CU_ASSERT_PTR_NOT_NULL (tt_pool_find (routed.board, tt_hash_string (name)));
+    }
+  routed_board_advance (&routed, 100);
+  CU_ASSERT_EQUAL (routed.board->backends.pools.count, 2);
+  routed_board_close (&routed);
+}
+
+/// Guards against freeing the service of an open request that an older configuration routed.
+static void
+service_of_open_request_is_kept (void)
+{
+  TtAction action = { 0 };
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  (void) routed_board_send_request (&routed, "/once/x", 0, 5000);
+  UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_DISPATCH, &action));
+  routed_board_attempt_sent (&routed, action.attempt.attempt_id);
+  configure_service (2, "other");
+  routed_board_change_server (&routed, "p1", ROUTED_PLAIN_SERVICE, false, true, 1);
+  routed_board_advance (&routed, 100);
+  CU_ASSERT_PTR_NOT_NULL (tt_pool_find (routed.board, tt_hash_string (ROUTED_PLAIN_SERVICE)));
+  routed_board_attempt_done (&routed, action.attempt.attempt_id, 200, false);
+  routed_board_advance (&routed, 100);
+  CU_ASSERT_PTR_NULL (tt_pool_find (routed.board, tt_hash_string (ROUTED_PLAIN_SERVICE)));
+  routed_board_close (&routed);
+}
+
 /// Guards against accepting requests on persistent connections after the announcement period of a
 /// shutdown and then truncating their responses (raagmala-sync, trouble-2), and against a crash
 /// during shutdown.
@@ -166,6 +229,8 @@
 }
 
 static const UnitTest tests[] = {
+  { "services_come_and_go", services_come_and_go },
+  { "service_of_open_request_is_kept", service_of_open_request_is_kept },
   { "empty_account_list_refuses_requests", empty_account_list_refuses_requests },
   { "no_configuration_yet", no_configuration_yet },
   { "older_table_is_ignored", older_table_is_ignored },
--- a/test/platform/dialect_test.c
+++ b/test/platform/dialect_test.c
@@ -1,7 +1,10 @@
 #include "support/routed_board.h"
 #include "support/unit.h"
 #include "tarragontrack/board/error_defs.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/platform/dialect.h"
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -11,7 +14,7 @@
 typedef struct
 {
   char names[HEADERS_MAX][64];
-  char values[HEADERS_MAX][128];
+  char values[HEADERS_MAX][512];
   size_t count;
 } HeaderSet;
 
@@ -116,6 +119,34 @@
   routed_board_close (&routed);
 }
 
+/// Guards against sending a part of a client account's name as the whole (UNASKED).
+static void
+test_long_account_name (void)
+{
+  TtDialect dialect = tt_platform_dialect ();
+  TtCallerCall call = make_call ();
+  TtAttemptAction action = { .remaining_ms = 432 };
+  HeaderSet header_set = { .count = 0 };
+  TtRequest *request;
+  RoutedBoard routed;
+  char name[301];
+
+  memset (name, 'n', sizeof name);
+  name[sizeof name - 1] = '\0';
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  free (routed.board->routes.table->accounts[0].name);
+  routed.board->routes.table->accounts[0].name = strdup (name);
+  routed_board_list_servers (&routed, ROUTED_ENGINE_SERVICE, 1, "e1");
+  action.request_id = routed_board_send_request (&routed, "/s/x", 7, 6000);
+  request = tt_request_find (routed.board, action.request_id);
+  UNIT_REQUIRE (request != NULL);
+  CU_ASSERT (strlen (request->spec.account) < TT_NAME_MAX);
+  dialect.write_attempt_headers (NULL, routed.board, &action, &call, add_header, &header_set);
+  CU_ASSERT_STRING_EQUAL (find_header (&header_set, "tenant"), name);
+  routed_board_close (&routed);
+}
+
 /// Guards against relaying the response to another request, or one without a backend server's
 /// signature.
 static void
@@ -257,6 +288,7 @@
 }
 
 static const UnitTest tests[] = {
+  { "long_account_name", test_long_account_name },
   { "parse_request", test_parse_request },
   { "write_attempt_headers", test_write_attempt_headers },
   { "parse_response_head", test_parse_response_head },
--- a/test/platform/table_test.c
+++ b/test/platform/table_test.c
@@ -1,6 +1,8 @@
 #include "support/unit.h"
 #include "tarragontrack/board/route.h"
 #include "tarragontrack/platform/table.h"
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define ROUTE_JSON(extra)                                                                          \
@@ -98,10 +100,119 @@
   tt_route_table_free (table);
 }
 
+/// Parses a configuration whose client account, service and host have names of @length bytes.
+static TtRouteTable *
+parse_long_names (size_t length)
+{
+  char name[512];
+  char text[4096];
+
+  memset (name, 'n', sizeof name);
+  name[length] = '\0';
+  (void) snprintf (
+      text, sizeof text,
+      "{\"Version\":7,\"Routes\":[{\"Host\":\"%s.a\",\"PathPrefix\":\"/a/\",\"Kind\":"
+      "\"idempotent\",\"Service\":\"%s\"},{\"Host\":\"%s.b\",\"PathPrefix\":\"/b/\","
+      "\"Kind\":\"idempotent\",\"Service\":\"short\"}],\"Services\":[{\"Name\":\"%s\"}],"
+      "\"Tenants\":[{\"Name\":\"%s\",\"ApiKeys\":[\"k1\"]}]}",
+      name, name, name, name, name);
+  return parse (text);
+}
+
+/// Guards against a configuration that never comes into force because one of its names is long, and
+/// against names with the same beginning that are taken for each other (CONFIG).
+static void
+test_long_names (void)
+{
+  static const size_t lengths[] = { 48, 60, 300 };
+
+  for (size_t i = 0; i < sizeof lengths / sizeof lengths[0]; i++)
+    {
+      TtRouteTable *table = parse_long_names (lengths[i]);
+      const TtRoute *route;
+      char host[512];
+
+      UNIT_REQUIRE (table != NULL);
+      CU_ASSERT_EQUAL (strlen (tt_route_find_account (table, tt_table_key_hash ("k1", 2))->name),
+                       lengths[i]);
+      memset (host, 'N', sizeof host);
+      (void) strcpy (host + lengths[i], ".a:80");
+      route = tt_route_find (table, host, "/a/1");
+      UNIT_REQUIRE (route != NULL);
+      CU_ASSERT_EQUAL (route->targets[0].service_id, table->services[0].id);
+      CU_ASSERT_PTR_NULL (tt_route_find (table, host, "/b/1"));
+      tt_route_table_free (table);
+    }
+}
+
+/// Guards against a configuration that never comes into force because of the number of its services
+/// or keys, or of the services of one route.
+static void
+test_many_services_and_keys (void)
+{
+  enum
+  {
+    SERVICES = 200,
+    KEYS = 20000,
+    TEXT_BYTES = 1 << 20
+  };
+  char *text = malloc (TEXT_BYTES);
+  size_t length
+      = (size_t) sprintf (text, "{\"Version\":7,\"Routes\":[{\"Host\":\"h\",\"PathPrefix\":"
+                                "\"/a/\",\"Kind\":\"idempotent\",\"Backends\":[");
+  TtRouteTable *table;
+
+  for (int i = 0; i < SERVICES; i++)
+    length += (size_t) sprintf (text + length, "%s{\"Service\":\"s%d\",\"Weight\":1}",
+                                i > 0 ? "," : "", i);
+  length += (size_t) sprintf (text + length, "]}],\"Services\":[");
+  for (int i = 0; i < SERVICES; i++)
+    length += (size_t) sprintf (text + length, "%s{\"Name\":\"s%d\"}", i > 0 ? "," : "", i);
+  length += (size_t) sprintf (text + length, "],\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[");
+  for (int i = 0; i < KEYS; i++)
+    length += (size_t) sprintf (text + length, "%s\"k%d\"", i > 0 ? "," : "", i);
+  (void) sprintf (text + length, "]}]}");
+  table = parse (text);
+  free (text);
+  UNIT_REQUIRE (table != NULL);
+  CU_ASSERT_EQUAL (table->service_count, SERVICES);
+  CU_ASSERT_EQUAL (table->key_count, KEYS);
+  CU_ASSERT_EQUAL (table->routes[0].target_count, SERVICES);
+  tt_route_table_free (table);
+}
+
+/// Guards against a client account with an odd name that keeps a configuration out of force, and
+/// against a name that would end the header in which it is sent.
+static void
+test_odd_account_names (void)
+{
+  static const char *const names[] = { "a\\r\\nX: y", "a\\u0000b", " a", "a " };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      TtRouteTable *table;
+      char text[256];
+
+      (void) snprintf (text, sizeof text,
+                       "{\"Version\":7,\"Tenants\":[{\"Name\":\"%s\",\"ApiKeys\":[\"k1\"]},"
+                       "{\"Name\":\"b\",\"ApiKeys\":[\"k2\"]}]}",
+                       names[i]);
+      table = parse (text);
+      UNIT_REQUIRE (table != NULL);
+      CU_ASSERT_PTR_NULL (tt_route_find_account (table, tt_table_key_hash ("k1", 2))->name);
+      CU_ASSERT_STRING_EQUAL (tt_route_find_account (table, tt_table_key_hash ("k2", 2))->name,
+                              "b");
+      tt_route_table_free (table);
+    }
+}
+
 static const UnitTest tests[] = {
   { "complete_configuration", test_complete_configuration },
   { "retry_policy", test_retry_policy },
   { "empty_account_list", test_empty_account_list },
+  { "long_names", test_long_names },
+  { "many_services_and_keys", test_many_services_and_keys },
+  { "odd_account_names", test_odd_account_names },
   { "malformed_configurations", test_malformed_configurations },
 };
 
--- a/test/support/routed_board.c
+++ b/test/support/routed_board.c
@@ -86,8 +86,9 @@
                       .goal_ms = goal_ms,
                       .event_gap_ms = 250,
                       .priority = 1,
-                      .target_count = 1 };
-  (void) snprintf (route->targets[0].service, sizeof route->targets[0].service, "%s", service);
+                      .target_count = 1,
+                      .targets = calloc (1, sizeof *route->targets) };
+  route->targets[0].service = strdup (service);
   route->targets[0].service_id = tt_hash_string (service);
   route->targets[0].weight = 1;
 }
@@ -109,16 +110,17 @@
   add_route (table, "/two/", ROUTED_ENGINE_SERVICE, TT_ROUTE_RETRY_NEVER, true, 1, 400);
   add_route (table, "/once/", ROUTED_PLAIN_SERVICE, TT_ROUTE_RETRY_NEVER, false, 1, 100);
   add_route (table, "/get/", ROUTED_PLAIN_SERVICE, TT_ROUTE_RETRY_ALWAYS, false, 2, 100);
-  (void) snprintf (table->accounts[0].name, sizeof table->accounts[0].name, "a");
+  table->accounts[0].name = strdup ("a");
   table->accounts[0].id = tt_hash_string ("a");
   table->account_count = 1;
   table->keys[0].hash = tt_hash_id128 (0, "k", 1);
   table->key_count = 1;
   table->requires_key = true;
-  (void) snprintf (table->services[0].name, sizeof table->services[0].name, ROUTED_ENGINE_SERVICE);
+  table->services = calloc (2, sizeof *table->services);
+  table->services[0].name = strdup (ROUTED_ENGINE_SERVICE);
   table->services[0].id = tt_hash_string (ROUTED_ENGINE_SERVICE);
   table->services[0].engine = true;
-  (void) snprintf (table->services[1].name, sizeof table->services[1].name, ROUTED_PLAIN_SERVICE);
+  table->services[1].name = strdup (ROUTED_PLAIN_SERVICE);
   table->services[1].id = tt_hash_string (ROUTED_PLAIN_SERVICE);
   table->service_count = 2;
   tt_route_table_sort (table);
