fix(store): entries of backend servers have names of any length (CONFIG)

A service with a name of 48 bytes or more had no backend servers, since their entries did not fit; a backend server with such an id was not used.

Cause: entries, peer messages and list continuations held 47 bytes, and copies for followers took the service's name from a display field.

Change: strings of entries are stored in one block with their array; the records of backend servers and pools keep whole names; request paths of the store are allocated. A page without a readable name is a failed call.

--- a/src/tarragontrack/board/action_defs.h
+++ b/src/tarragontrack/board/action_defs.h
@@ -59,7 +59,8 @@
   TtPlatformOp op;
   char key[TT_KEY_MAX];
   TtStoreKind kind; ///< kind of the store entries: LIST, WATCH_ENTRIES, CREATE and REPLACE
-  char continue_after[TT_NAME_MAX]; ///< LIST: continue after this name; empty = from the start
+  /// LIST: continue after this name, valid until the next step; NULL = from the start.
+  const char *continue_after;
   uint64_t version;
   const TtObject *object; ///< PUT: owned by the controller, valid until the next step
 } TtPlatformAction;
--- a/src/tarragontrack/board/backend.c
+++ b/src/tarragontrack/board/backend.c
@@ -30,6 +30,8 @@
 {
   TT_LIST_FOREACH (&board->backends.pools, it)
     free_pool (board, TT_CONTAINER_OF (it, TtPool, link));
+  TT_LIST_FOREACH (&board->backends.all, it)
+    free (TT_CONTAINER_OF (it, TtBackendServer, link)->name);
   free (board->backends.backend_records);
 }
 
@@ -53,20 +55,23 @@
 }
 
 TtBackendServer *
-tt_backend_new (TtBoard *board, uint64_t id)
+tt_backend_new (TtBoard *board, uint64_t id, const char *name)
 {
   TtBackendSection *section = &board->backends;
-  TtLink *link = tt_list_pop (&section->free_backends);
+  char *copy = strdup (name);
+  TtLink *link = copy != NULL ? tt_list_pop (&section->free_backends) : NULL;
   TtBackendServer *backend;
 
   if (link == NULL)
     {
+      free (copy);
       tt_board_counter_add (board, TT_COUNT_POOL_FULL, 1);
       return NULL;
     }
   backend = TT_CONTAINER_OF (link, TtBackendServer, link);
   memset (backend, 0, sizeof *backend);
   backend->id = id;
+  backend->name = copy;
   backend->health.weight_factor = 1.0;
   tt_list_init (&backend->attempts);
   tt_list_init (&backend->share.leases);
@@ -89,6 +94,8 @@
   tt_list_remove (&section->buckets[backend->id % TT_BACKEND_BUCKETS], &backend->bucket_link);
   if (backend->pool != NULL)
     tt_list_remove (&backend->pool->backends, &backend->pool_link);
+  free (backend->name);
+  backend->name = NULL;
   tt_list_append (&section->free_backends, &backend->link);
 }
 
--- a/src/tarragontrack/board/backend.h
+++ b/src/tarragontrack/board/backend.h
@@ -18,8 +18,9 @@
 /// whatever path leads to them: tt_attempt_new() opens no attempt without it.
 bool tt_backend_accepts (const TtBackendServer *backend, int64_t now_us);
 
-/// Allocates a backend server record; NULL if TT_MAX_BACKENDS are in use.
-TtBackendServer *tt_backend_new (TtBoard *board, uint64_t id);
+/// Allocates a record for a backend server, given by the hash of its name and the name; NULL if
+/// TT_MAX_BACKENDS are in use or memory could not be allocated.
+TtBackendServer *tt_backend_new (TtBoard *board, uint64_t id, const char *name);
 
 /// Frees the record of a backend server without open attempts.
 void tt_backend_free (TtBoard *board, TtBackendServer *backend);
--- a/src/tarragontrack/board/backend_defs.h
+++ b/src/tarragontrack/board/backend_defs.h
@@ -37,7 +37,7 @@
   uint64_t id;        ///< hash of the name
   uint64_t domain_id;
   uint64_t service_id;
-  char name[TT_NAME_MAX];
+  char *name; ///< of any length
   char address[TT_ADDRESS_MAX];
   uint16_t port;
   double weight;         ///< relative capacity (accelerators)
--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -18,7 +18,7 @@
 /// A backend server's registration.
 typedef struct
 {
-  char service[TT_NAME_MAX];
+  const char *service;
   char address[TT_ADDRESS_MAX];
   uint16_t port;
   uint64_t domain_id; ///< hash of the failure domain's name
@@ -35,10 +35,12 @@
   uint16_t port;
 } TtDaemonEntry;
 
+/// One entry. Its strings have any length and are stored behind the array of entries, see
+/// tt_store_entries_alloc().
 typedef struct
 {
   TtStoreKind kind;
-  char name[TT_NAME_MAX];
+  const char *name;
   uint64_t revision; ///< store revision of the entry's last change
   bool removed;
   bool valid; ///< false: the entry could not be parsed or holds invalid values
@@ -56,12 +58,12 @@
   TtStoreKind kind;
   TtStoreEntry *entries;
   uint32_t count;
-  bool is_list;       ///< a list of the kind or a page of it, not a set of changes
-  bool is_first_page; ///< first page of a list
-  bool has_more; ///< further pages follow; TtStoreEntries.continue_after is the continuation token
-  char continue_after[TT_NAME_MAX];
-  uint64_t revision;      ///< of the store; the next watch call starts here
-  bool from_peer;         ///< another daemon sent the entries, not the store
+  bool is_list;               ///< a list of the kind or a page of it, not a set of changes
+  bool is_first_page;         ///< first page of a list
+  bool has_more;              ///< further pages follow
+  const char *continue_after; ///< continuation token: the name of the last entry; NULL = none
+  uint64_t revision;          ///< of the store; the next watch call starts here
+  bool from_peer;             ///< another daemon sent the entries, not the store
   uint64_t base_revision; ///< changes sent by a daemon: revision of the list to which they apply
   uint32_t
       lapse_ms; ///< sent by a daemon: time for which entries may be missing because of an outage
@@ -70,15 +72,14 @@
 /// State of listing and watching the entries of one kind.
 typedef struct
 {
-  uint64_t revision; ///< changes up to here were received; 0 = the kind has to be listed
-  char continue_after[TT_NAME_MAX]; ///< continuation token: the last name of the pages received so
-                                    ///< far; empty = first page
-  uint64_t call_id;                 ///< id of the call in flight; 0 = none
-  int64_t call_started_us;          ///< when that call was started
-  int64_t next_call_us;             ///< earliest start of the next call
-  uint32_t failures;                ///< consecutive failed calls
-  int64_t failing_since_us;         ///< when calls began to fail; 0 = the last call succeeded
-  int64_t last_failed_call_us;      ///< start of the last call that failed; 0 = none failed
+  uint64_t revision;        ///< changes up to here were received; 0 = the kind has to be listed
+  char *continue_after;     ///< continuation token of the pages received so far; NULL = first page
+  uint64_t call_id;         ///< id of the call in flight; 0 = none
+  int64_t call_started_us;  ///< when that call was started
+  int64_t next_call_us;     ///< earliest start of the next call
+  uint32_t failures;        ///< consecutive failed calls
+  int64_t failing_since_us; ///< when calls began to fail; 0 = the last call succeeded
+  int64_t last_failed_call_us; ///< start of the last call that failed; 0 = none failed
 } TtFeedStream;
 
 typedef struct
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/codec/peer.h"
 #include "tarragontrack/board/backend_defs.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/board/store.h"
 #include "tarragontrack/codec/document.h"
 #include "tarragontrack/codec/msgpack_validate.h"
 #include "tarragontrack/codec/peer_fields.h"
@@ -14,7 +15,8 @@
   char fleet[TT_NAME_MAX];
   TtPeerMessage message;
   TtDocument document;
-  TtStoreEntry *servers; ///< entries of the last TT_PEER_SERVERS message
+  TtStoreEntry *servers; ///< entries of the last list of backend servers or its changes
+  size_t message_size;   ///< bytes of the message that is being decoded
   char text[TT_MAX_DOCUMENT_BYTES + 1];
 };
 
@@ -295,10 +297,21 @@
   table->text_size = item->via.str.size;
 }
 
+/// Decodes a string into the room for the strings of entries.
+static const char *
+next_name (TtPeerFieldCursor *fields, TtStoreText *text)
+{
+  size_t size;
+  const char *bytes = tt_peer_fields_next_text (fields, &size);
+
+  return tt_store_text_add (text, bytes, size);
+}
+
 static void
 decode_servers (TtPeerDecoder *decoder, TtPeerFieldCursor *body, TtStoreEntries *servers)
 {
   TtPeerFieldCursor list;
+  TtStoreText text;
 
   servers->kind = TT_STORE_SERVERS;
   servers->is_list = decoder->message.type == TT_PEER_SERVERS;
@@ -307,7 +320,9 @@
   servers->revision = tt_peer_fields_next_u64 (body);
   list = tt_peer_fields_next_array (body, TT_MAX_BACKENDS);
   free (decoder->servers);
-  decoder->servers = calloc (list.count + 1, sizeof *decoder->servers);
+  // A string and its final NUL need at most one byte more than in the message.
+  decoder->servers
+      = tt_store_entries_alloc (list.count, decoder->message_size + (size_t) 2 * list.count, &text);
   if (decoder->servers == NULL)
     {
       tt_peer_fields_fail (body, TT_E_LIMIT);
@@ -321,9 +336,9 @@
 
       entry->kind = TT_STORE_SERVERS;
       entry->valid = true;
-      tt_peer_fields_next_string (&fields, entry->name, sizeof entry->name);
+      entry->name = next_name (&fields, &text);
       entry->revision = tt_peer_fields_next_u64 (&fields);
-      tt_peer_fields_next_string (&fields, entry->server.service, sizeof entry->server.service);
+      entry->server.service = next_name (&fields, &text);
       tt_peer_fields_next_address (&fields, entry->server.address);
       entry->server.port = (uint16_t) tt_peer_fields_next_u32 (&fields, UINT16_MAX);
       entry->server.domain_id = tt_peer_fields_next_u64 (&fields);
@@ -440,6 +455,7 @@
 
   *message = NULL;
   memset (&decoder->message, 0, sizeof decoder->message);
+  decoder->message_size = size;
   if (size > TT_PEER_MESSAGE_MAX_BYTES)
     return tt_error_set (error, TT_E_LIMIT, TT_STEP_PEER_RECEIVE, NULL,
                          "message of %zu bytes, expected at most %d", size,
--- a/src/tarragontrack/codec/peer_encode.c
+++ b/src/tarragontrack/codec/peer_encode.c
@@ -8,6 +8,8 @@
 static void
 pack_string (msgpack_packer *packer, const char *text)
 {
+  if (text == NULL)
+    text = "";
   (void) msgpack_pack_str_with_body (packer, text, strlen (text));
 }
 
--- a/src/tarragontrack/codec/peer_fields.c
+++ b/src/tarragontrack/codec/peer_fields.c
@@ -68,21 +68,37 @@
   return 0;
 }
 
+const char *
+tt_peer_fields_next_text (TtPeerFieldCursor *fields, size_t *size)
+{
+  const msgpack_object *item = tt_peer_fields_next (fields, MSGPACK_OBJECT_STR);
+
+  *size = 0;
+  if (item == NULL || item->via.str.size == 0) // an empty string may have a NULL pointer
+    return "";
+  if (memchr (item->via.str.ptr, 0, item->via.str.size) != NULL)
+    {
+      tt_peer_fields_fail (fields, TT_E_MALFORMED);
+      return "";
+    }
+  *size = item->via.str.size;
+  return item->via.str.ptr;
+}
+
 void
 tt_peer_fields_next_string (TtPeerFieldCursor *fields, char *text, size_t size)
 {
-  const msgpack_object *item = tt_peer_fields_next (fields, MSGPACK_OBJECT_STR);
+  size_t length;
+  const char *bytes = tt_peer_fields_next_text (fields, &length);
 
   text[0] = '\0';
-  if (item == NULL || item->via.str.size == 0) // an empty string may have a NULL pointer
-    return;
-  if (item->via.str.size >= size || memchr (item->via.str.ptr, 0, item->via.str.size) != NULL)
+  if (length >= size)
     {
       tt_peer_fields_fail (fields, TT_E_MALFORMED);
       return;
     }
-  memcpy (text, item->via.str.ptr, item->via.str.size);
-  text[item->via.str.size] = '\0';
+  memcpy (text, bytes, length);
+  text[length] = '\0';
 }
 
 void
--- a/src/tarragontrack/codec/peer_fields.h
+++ b/src/tarragontrack/codec/peer_fields.h
@@ -43,6 +43,10 @@
 /// Decodes a string without NUL bytes into @text of @size bytes.
 void tt_peer_fields_next_string (TtPeerFieldCursor *fields, char *text, size_t size);
 
+/// Decodes a string of any length without NUL bytes. RETURN its bytes, which are not terminated,
+/// or "" if it is malformed.
+const char *tt_peer_fields_next_text (TtPeerFieldCursor *fields, size_t *size);
+
 /// Decodes an IP address of 4 or 16 bytes, or an empty string. Host names are rejected, because
 /// resolving a name would block. On failure, @address is empty or unchanged.
 void tt_peer_fields_next_address (TtPeerFieldCursor *fields, char *address);
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -1,6 +1,8 @@
+#include "tarragontrack/control/feed.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /// Backoff after a failed call: doubles with each consecutive failure up to a maximum. The maximum
@@ -28,6 +30,32 @@
   [TT_STORE_CONFIG] = "config", [TT_STORE_SERVERS] = "servers", [TT_STORE_DAEMONS] = "daemons"
 };
 
+/// Sets the continuation token of a list; NULL = first page. Without memory for it, the list starts
+/// anew.
+static void
+set_continue_after (TtFeedStream *stream, const char *name)
+{
+  free (stream->continue_after);
+  stream->continue_after = name != NULL ? strdup (name) : NULL;
+}
+
+void
+tt_feed_relist (TtFeedStream *stream, int64_t now_us)
+{
+  stream->revision = 0;
+  set_continue_after (stream, NULL);
+  stream->call_id = 0;
+  stream->next_call_us = now_us;
+}
+
+static void
+close_feed (void *context, TtBoard *board)
+{
+  (void) context;
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+    set_continue_after (&board->feed.streams[kind], NULL);
+}
+
 /// Queues a store call for one kind.
 static uint64_t
 call_store (TtBoard *board, TtPlatformOp op, TtStoreKind kind, const TtFeedStream *stream)
@@ -44,8 +72,7 @@
   if (stream != NULL)
     {
       action->platform.version = stream->revision;
-      memcpy (action->platform.continue_after, stream->continue_after,
-              sizeof action->platform.continue_after);
+      action->platform.continue_after = stream->continue_after;
     }
   return action->platform.call_id;
 }
@@ -87,9 +114,7 @@
   if (code == TT_E_STALE)
     {
       // The store has compacted the changes since this revision, so the list is read again.
-      stream->revision = 0;
-      stream->continue_after[0] = '\0';
-      stream->next_call_us = now_us;
+      tt_feed_relist (stream, now_us);
       return;
     }
   tt_board_counter_add (board, TT_COUNT_PLATFORM_ERRORS, 1);
@@ -127,10 +152,10 @@
   stream->failing_since_us = 0;
   if (entries->is_list && entries->has_more)
     {
-      memcpy (stream->continue_after, entries->continue_after, sizeof stream->continue_after);
+      set_continue_after (stream, entries->continue_after);
       return;
     }
-  stream->continue_after[0] = '\0';
+  set_continue_after (stream, NULL);
   stream->revision = entries->revision;
 }
 
@@ -167,6 +192,14 @@
   return kind != TT_STORE_DAEMONS && board->reader.reads_store;
 }
 
+/// False for a page of a list after which the list cannot be continued, because none of its entries
+/// has a readable name.
+static bool
+has_continuation (const TtStoreEntries *entries)
+{
+  return !entries->is_list || !entries->has_more || entries->continue_after != NULL;
+}
+
 /// Handles the result of a call, which is either the write of this daemon's entry or the list or
 /// watch call of one kind.
 static void
@@ -185,10 +218,11 @@
       if (event->platform.code != TT_OK && stream->revision != 0
           && !is_watched (board, (TtStoreKind) kind))
         stream->call_id = 0; // a watch of a daemon that no longer reads; it is not repeated
-      else if (event->platform.code == TT_OK && event->platform.entries != NULL)
+      else if (event->platform.code == TT_OK && event->platform.entries != NULL
+               && has_continuation (event->platform.entries))
         {
           event->platform.entries->is_first_page
-              = event->platform.entries->is_list && stream->continue_after[0] == '\0';
+              = event->platform.entries->is_list && stream->continue_after == NULL;
           handle_call_result (board, stream, event->platform.entries, now_us);
         }
       else
@@ -268,5 +302,5 @@
 TtController
 tt_feed_controller (void)
 {
-  return (TtController){ .name = "feed", .on_event = on_event, .run = run };
+  return (TtController){ .name = "feed", .close = close_feed, .on_event = on_event, .run = run };
 }
--- a/src/tarragontrack/control/fleet_copies.c
+++ b/src/tarragontrack/control/fleet_copies.c
@@ -4,11 +4,13 @@
 #include "tarragontrack/control/fleet_copies.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/store.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/reader.h"
 #include "tarragontrack/control/registry.h"
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /// The store is the preferred source. A newer copy is fetched from another daemon if the store has
 /// not delivered it after this time, or immediately while calls to the store fail.
@@ -42,13 +44,31 @@
   message->table.text_size = (uint32_t) table->text_size;
 }
 
+/// Bytes of the names of all backend servers and their services.
+static size_t
+list_text_size (const TtBoard *board)
+{
+  size_t size = 0;
+
+  TT_LIST_FOREACH (&board->backends.all, it)
+    {
+      const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
+
+      size += strlen (backend->name) + 1;
+      size += backend->pool != NULL ? strlen (backend->pool->name) + 1 : 0;
+    }
+  return size;
+}
+
 /// Responds to a daemon that requested the list of backend servers.
 static void
 send_servers (TtBoard *board, const TtDaemonStatus *requester, int64_t now_us)
 {
   // The entries are allocated before the message is queued, because the receiver would interpret a
   // message without entries as an empty list.
-  TtStoreEntry *entries = calloc (board->backends.all.count + 1, sizeof *entries);
+  TtStoreText text;
+  TtStoreEntry *entries
+      = tt_store_entries_alloc (board->backends.all.count, list_text_size (board), &text);
   TtPeerMessage *message = entries != NULL ? tt_fleet_new_message (board, requester->address,
                                                                    requester->port, TT_PEER_SERVERS)
                                            : NULL;
@@ -79,9 +99,9 @@
       entry->kind = TT_STORE_SERVERS;
       entry->valid = true;
       entry->revision = backend->registry.revision;
-      (void) snprintf (entry->name, sizeof entry->name, "%s", backend->name);
-      (void) snprintf (entry->server.service, sizeof entry->server.service, "%s",
-                       backend->pool->spec.name);
+      entry->name = tt_store_text_add (&text, backend->name, strlen (backend->name));
+      entry->server.service
+          = tt_store_text_add (&text, backend->pool->name, strlen (backend->pool->name));
       (void) snprintf (entry->server.address, sizeof entry->server.address, "%s", backend->address);
       entry->server.port = backend->port;
       entry->server.domain_id = backend->domain_id;
--- a/src/tarragontrack/control/reader.c
+++ b/src/tarragontrack/control/reader.c
@@ -9,7 +9,9 @@
 #include "tarragontrack/control/reader.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/board/store.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/feed.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/registry.h"
 #include <stdlib.h>
@@ -105,14 +107,7 @@
 relist (TtBoard *board, int64_t now_us)
 {
   for (size_t i = 0; i < sizeof watched_kinds / sizeof watched_kinds[0]; i++)
-    {
-      TtFeedStream *stream = &board->feed.streams[watched_kinds[i]];
-
-      stream->revision = 0;
-      stream->continue_after[0] = '\0';
-      stream->call_id = 0;
-      stream->next_call_us = now_us;
-    }
+    tt_feed_relist (&board->feed.streams[watched_kinds[i]], now_us);
   board->reader.listed = false;
 }
 
@@ -296,7 +291,7 @@
 relay_changes (TtBoard *board, const TtDaemon *daemon, const TtStoreEntries *changes,
                int64_t now_us)
 {
-  TtStoreEntry *entries = calloc (changes->count, sizeof *entries);
+  TtStoreEntry *entries = tt_store_servers_copy (changes->entries, changes->count);
   TtPeerMessage *message
       = entries != NULL
             ? tt_fleet_new_message (board, daemon->address, daemon->port, TT_PEER_SERVER_CHANGES)
@@ -307,7 +302,6 @@
       free (entries); // the daemon fetches the list when it sees the newer revision
       return;
     }
-  memcpy (entries, changes->entries, changes->count * sizeof *entries);
   message->servers = (TtStoreEntries){ .kind = TT_STORE_SERVERS,
                                        .entries = entries,
                                        .count = changes->count,
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -77,14 +77,13 @@
   if (pool == NULL)
     return;
   if (backend == NULL)
-    backend = tt_backend_new (board, id);
+    backend = tt_backend_new (board, id, entry->name);
   if (backend == NULL)
     return;
   if (entry->revision < backend->registry.revision)
     return; // another daemon's copy may be older
   if (backend->registry.process_start_ms != entry->server.process_start_ms)
     reset_process_state (backend);
-  (void) snprintf (backend->name, sizeof backend->name, "%s", entry->name);
   (void) snprintf (backend->address, sizeof backend->address, "%s", entry->server.address);
   backend->port = entry->server.port;
   backend->domain_id = entry->server.domain_id;
--- a/src/tarragontrack/control/roster.c
+++ b/src/tarragontrack/control/roster.c
@@ -159,10 +159,9 @@
       if (oldest != NULL)
         tt_backend_free (board, oldest);
     }
-  backend = tt_backend_new (board, id);
+  backend = tt_backend_new (board, id, host->name);
   if (backend == NULL)
     return NULL;
-  (void) snprintf (backend->name, sizeof backend->name, "%s", host->name);
   backend->roster.changed_us = now_us;
   backend->roster.last_flap_us = now_us;
   tt_board_log (board, TT_LOG_BACKEND_LIVE, "backend=%s domain=%s", host->name, host->domain);
--- a/src/tarragontrack/io/object_dialect.c
+++ b/src/tarragontrack/io/object_dialect.c
@@ -2,10 +2,12 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/codec/object.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
 {
+  PATH_MAX_BYTES = 3 * TT_KEY_MAX + 128, ///< of an encoded path with its query
   CALL_TIMEOUT_MS = 2000,
   WATCH_WAIT_MS = 4000,   ///< longest time for which the platform may hold a watch request
   WATCH_TIMEOUT_MS = 6000 ///< without a response for longer, the connection is considered lost
@@ -118,7 +120,10 @@
   bool is_put = action->op == TT_PLATFORM_PUT;
 
   (void) context;
-  write_path (action, request->path, sizeof request->path);
+  request->path = malloc (PATH_MAX_BYTES);
+  if (request->path == NULL)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_PLATFORM_READ, action->key, "path");
+  write_path (action, request->path, PATH_MAX_BYTES);
   request->method = is_put ? "PUT" : "GET";
   request->timeout_ms = action->op == TT_PLATFORM_WATCH ? WATCH_TIMEOUT_MS : CALL_TIMEOUT_MS;
   if (is_put || action->op == TT_PLATFORM_HOSTS)
--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -8,7 +8,6 @@
 enum
 {
   BASE_URL_MAX = 64,
-  URL_MAX = BASE_URL_MAX + TT_PLATFORM_PATH_MAX,
   RESPONSE_MAX_BYTES = 4 * 1000 * 1000 ///< must hold a page of a list with its JSON framing
 };
 
@@ -191,13 +190,13 @@
 {
   const TtPlatformDialect *dialect = &call->client->dialect;
   TtPlatformRequest encoded = { .method = "GET" };
-  char url[URL_MAX];
+  char *url = NULL;
+  size_t url_size;
   int code = dialect->encode_request (dialect->context, action, &encoded, &call->error);
   const char *const headers[]
       = { encoded.body != NULL ? "Content-Type: application/json" : "Accept: application/json",
           encoded.condition_header[0] != '\0' ? encoded.condition_header : NULL, NULL };
   TtHttpRequest request = { .method = encoded.method,
-                            .url = url,
                             .peer = "platform",
                             .headers = headers,
                             .body = encoded.body,
@@ -210,9 +209,19 @@
                             .on_data = on_data,
                             .on_end = on_end };
 
-  (void) snprintf (url, sizeof url, "%s%s", call->client->base_url, encoded.path);
   if (code == TT_OK)
-    call->http = tt_http_client_start (call->client->http, &request);
+    {
+      url_size = strlen (call->client->base_url) + strlen (encoded.path) + 1;
+      url = malloc (url_size);
+    }
+  if (url != NULL)
+    {
+      (void) snprintf (url, url_size, "%s%s", call->client->base_url, encoded.path);
+      request.url = url;
+      call->http = tt_http_client_start (call->client->http, &request);
+    }
+  free (url);
+  free (encoded.path);
   free (encoded.body);
   if (code == TT_OK && call->http == NULL)
     code = tt_error_set (&call->error, TT_E_NO_MEMORY, step_of_op (call->op), call->key,
--- a/src/tarragontrack/io/platform_dialect_defs.h
+++ b/src/tarragontrack/io/platform_dialect_defs.h
@@ -5,15 +5,10 @@
 #include "tarragontrack/board/event_defs.h"
 #include <stddef.h>
 
-enum
-{
-  TT_PLATFORM_PATH_MAX = 3 * TT_KEY_MAX + 128 ///< bytes of an encoded path with its query
-};
-
 typedef struct
 {
   const char *method;
-  char path[TT_PLATFORM_PATH_MAX];
+  char *path;                ///< with the query; freed by the client with free()
   char condition_header[64]; ///< conditional header line (If-Match, If-None-Match); empty = none
   char *body;                ///< freed by the client with free(); NULL = none
   size_t body_size;
--- a/src/tarragontrack/platform/entry.c
+++ b/src/tarragontrack/platform/entry.c
@@ -9,10 +9,19 @@
   MAX_SLOTS = 1000000 ///< of one backend server; an entry with more is invalid
 };
 
+/// Copies a name. RETURN NULL if it is absent, empty or has a NUL byte.
+static const char *
+copy_name (json_object *object, const char *member, TtStoreText *text)
+{
+  const char *name = tt_field_is_plain (object, member) ? tt_field_string (object, member) : "";
+
+  return name[0] != '\0' ? tt_store_text_add (text, name, strlen (name)) : NULL;
+}
+
 /// Parses a backend server's entry. RETURN false if a field is absent or invalid: other programs
 /// write these entries.
 static bool
-parse_server (json_object *spec, TtServerEntry *server)
+parse_server (json_object *spec, TtServerEntry *server, TtStoreText *text)
 {
   const char *state = tt_field_string (spec, "State");
   const char *zone = tt_field_string (spec, "Zone");
@@ -26,7 +35,8 @@
     return false;
   server->slots = (uint32_t) slots;
   server->domain_id = tt_hash_string (zone);
-  return tt_field_copy (spec, "Service", server->service, sizeof server->service)
+  server->service = copy_name (spec, "Service", text);
+  return server->service != NULL
          && tt_field_parse_endpoint (tt_field_string (spec, "Address"), server->address,
                                      sizeof server->address, &server->port);
 }
@@ -42,7 +52,7 @@
 }
 
 void
-tt_entry_from_json (TtStoreKind kind, json_object *object, TtStoreEntry *entry)
+tt_entry_from_json (TtStoreKind kind, json_object *object, TtStoreEntry *entry, TtStoreText *text)
 {
   json_object *metadata = NULL;
   json_object *spec = NULL;
@@ -51,8 +61,10 @@
   *entry = (TtStoreEntry){ .kind = kind };
   if (!json_object_is_type (object, json_type_object)
       || !json_object_object_get_ex (object, "Metadata", &metadata)
-      || !json_object_is_type (metadata, json_type_object)
-      || !tt_field_copy (metadata, "Name", entry->name, sizeof entry->name))
+      || !json_object_is_type (metadata, json_type_object))
+    return;
+  entry->name = copy_name (metadata, "Name", text);
+  if (entry->name == NULL)
     return;
   entry->revision = tt_field_number (metadata, "Revision", 0);
   if (!json_object_object_get_ex (object, "Spec", &spec)
@@ -62,7 +74,7 @@
     entry->valid = strcmp (entry->name, TT_WIRE_CONFIG_NAME) == 0
                    && tt_table_from_json (spec, &entry->table, &error) == TT_OK;
   else if (kind == TT_STORE_SERVERS)
-    entry->valid = parse_server (spec, &entry->server);
+    entry->valid = parse_server (spec, &entry->server, text);
   else
     entry->valid = parse_daemon (spec, &entry->daemon);
 }
--- a/src/tarragontrack/platform/store.c
+++ b/src/tarragontrack/platform/store.c
@@ -7,6 +7,7 @@
 #include "tarragontrack/platform/nesting.h"
 #include "tarragontrack/platform/table.h"
 #include <curl/curl.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,14 +28,34 @@
   [TT_STORE_DAEMONS] = TT_WIRE_KIND_DAEMONS,
 };
 
+/// Sets the path of a request from a format.
+static int __attribute__ ((format (printf, 3, 4)))
+set_path (TtPlatformRequest *request, TtError *error, const char *format, ...)
+{
+  va_list arguments;
+  int size;
+
+  va_start (arguments, format);
+  size = vsnprintf (NULL, 0, format, arguments);
+  va_end (arguments);
+  request->path = size >= 0 ? malloc ((size_t) size + 1) : NULL;
+  if (request->path == NULL)
+    return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_PLATFORM_READ, NULL, "path");
+  va_start (arguments, format);
+  (void) vsnprintf (request->path, (size_t) size + 1, format, arguments);
+  va_end (arguments);
+  return TT_OK;
+}
+
 static int
 encode_request (void *context, const TtPlatformAction *action, TtPlatformRequest *request,
                 TtError *error)
 {
   const TtStoreIdentity *identity = context;
   const char *kind = kind_names[action->kind];
-  char *name = NULL;
+  char *name;
   json_object *object;
+  int code;
 
   request->method = "GET";
   request->timeout_ms = CALL_TIMEOUT_MS;
@@ -43,29 +64,32 @@
     case TT_PLATFORM_LIST:
       // Despite its name, the parameter SinceRev takes the name of the last entry of the previous
       // page, not a revision.
+      if (action->continue_after == NULL)
+        return set_path (request, error, "/objects/%s", kind);
       name = curl_easy_escape (NULL, action->continue_after, 0);
-      (void) snprintf (request->path, sizeof request->path, "/objects/%s%s%s", kind,
-                       action->continue_after[0] != '\0' ? "?SinceRev=" : "",
-                       name != NULL ? name : "");
+      code = name != NULL
+                 ? set_path (request, error, "/objects/%s?SinceRev=%s", kind, name)
+                 : tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_PLATFORM_READ, kind, "path");
       curl_free (name);
-      return TT_OK;
+      return code;
     case TT_PLATFORM_WATCH_ENTRIES:
       request->timeout_ms = WATCH_TIMEOUT_MS;
-      (void) snprintf (request->path, sizeof request->path, "/objects/%s?Watch=%llu&WaitMs=%d",
-                       kind, (unsigned long long) action->version, WATCH_WAIT_MS);
-      return TT_OK;
+      return set_path (request, error, "/objects/%s?Watch=%llu&WaitMs=%d", kind,
+                       (unsigned long long) action->version, WATCH_WAIT_MS);
     case TT_PLATFORM_CREATE:
       request->method = "POST";
-      (void) snprintf (request->path, sizeof request->path, "/objects/%s", kind);
+      code = set_path (request, error, "/objects/%s", kind);
       break;
     case TT_PLATFORM_REPLACE:
       request->method = "PUT";
-      (void) snprintf (request->path, sizeof request->path, "/objects/%s/%s", kind, identity->name);
+      code = set_path (request, error, "/objects/%s/%s", kind, identity->name);
       break;
     default:
       return tt_error_set (error, TT_E_INVALID, TT_STEP_PLATFORM_READ, kind,
                            "operation is not supported by the store");
     }
+  if (code != TT_OK)
+    return code;
   object = tt_entry_to_json (identity->name, &identity->daemon_entry);
   request->body = strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
   json_object_put (object);
@@ -103,14 +127,14 @@
 }
 
 static TtStoreEntries *
-new_entries (TtStoreKind kind, size_t count)
+new_entries (TtStoreKind kind, size_t count, size_t text_size, TtStoreText *text)
 {
   TtStoreEntries *entries = calloc (1, sizeof *entries);
 
   if (entries == NULL)
     return NULL;
   entries->kind = kind;
-  entries->entries = calloc (count > 0 ? count : 1, sizeof *entries->entries);
+  entries->entries = tt_store_entries_alloc ((uint32_t) count, text_size, text);
   if (entries->entries != NULL)
     return entries;
   free (entries);
@@ -125,7 +149,9 @@
   bool is_list = response->op == TT_PLATFORM_LIST;
   size_t count;
   json_object *array = tt_field_array (root, is_list ? "Entries" : "events", &count);
-  TtStoreEntries *entries = new_entries (response->kind, count);
+  TtStoreText text;
+  // The strings of the entries are shorter than their JSON text.
+  TtStoreEntries *entries = new_entries (response->kind, count, response->size, &text);
 
   if (entries == NULL)
     return NULL;
@@ -140,11 +166,11 @@
 
       if (!is_list && !json_object_object_get_ex (item, "Object", &object))
         continue;
-      tt_entry_from_json (response->kind, object, entry);
-      if (entry->name[0] == '\0')
+      tt_entry_from_json (response->kind, object, entry, &text);
+      if (entry->name == NULL)
         continue;
       entry->removed = !is_list && tt_field_bool (item, "Removed", false);
-      (void) snprintf (entries->continue_after, sizeof entries->continue_after, "%s", entry->name);
+      entries->continue_after = entry->name;
       entries->count++;
     }
   return entries;
@@ -215,7 +241,8 @@
 TtStoreEntries *
 tt_store_entries_from_table (const char *text, size_t size, TtError *error)
 {
-  TtStoreEntries *entries = new_entries (TT_STORE_CONFIG, 1);
+  TtStoreText room;
+  TtStoreEntries *entries = new_entries (TT_STORE_CONFIG, 1, 0, &room);
 
   if (entries == NULL)
     {
@@ -225,6 +252,7 @@
   entries->from_peer = true;
   entries->count = 1;
   entries->entries[0].kind = TT_STORE_CONFIG;
+  entries->entries[0].name = TT_WIRE_CONFIG_NAME;
   if (tt_table_parse (text, size, &entries->entries[0].table, error) == TT_OK)
     {
       entries->entries[0].valid = true;
--- a/test/codec/peer_test.c
+++ b/test/codec/peer_test.c
@@ -469,7 +469,36 @@
   tt_peer_decoder_free (decoder);
 }
 
+/// Guards against names of backend servers and services that are cut, or make a list undecodable.
+static void
+long_names_round_trip (void)
+{
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  const TtPeerMessage *decoded;
+  char name[301];
+  TtStoreEntry entries[2]
+      = { { .name = name, .valid = true, .server = { .service = name, .port = 1 } },
+          { .name = "", .removed = true } };
+  char *data;
+
+  memset (name, 'n', sizeof name);
+  name[sizeof name - 1] = '\0';
+  memset (&message, 0, sizeof message);
+  message.type = TT_PEER_SERVER_CHANGES;
+  message.sender_id = 7;
+  message.servers = (TtStoreEntries){ .entries = entries, .count = 2, .revision = 9 };
+  decoded = round_trip (decoder, &data);
+  UNIT_REQUIRE (decoded->servers.count == 2);
+  CU_ASSERT_STRING_EQUAL (decoded->servers.entries[0].name, name);
+  CU_ASSERT_STRING_EQUAL (decoded->servers.entries[0].server.service, name);
+  CU_ASSERT_STRING_EQUAL (decoded->servers.entries[1].name, "");
+  CU_ASSERT_STRING_EQUAL (decoded->servers.entries[1].server.service, "");
+  free (data);
+  tt_peer_decoder_free (decoder);
+}
+
 static const UnitTest tests[] = {
+  { "long_names_round_trip", long_names_round_trip },
   { "gossip_round_trip", gossip_round_trip },
   { "slot_grant_and_leave_round_trip", slot_grant_and_leave_round_trip },
   { "document_is_parsed", document_is_parsed },
--- a/test/control/routes_test.c
+++ b/test/control/routes_test.c
@@ -86,6 +86,7 @@
   routed_board_configure (&routed, 1, false);
   routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
   entry.table = routed_board_new_table (2);
+  free (entry.table->accounts[0].name);
   entry.table->account_count = 0;
   entry.table->key_count = 0;
   routed_board_step (&routed, 1, &event);
--- a/test/fuzz/store_fuzz.c
+++ b/test/fuzz/store_fuzz.c
@@ -35,7 +35,7 @@
     {
       const TtStoreEntry *entry = &event.entries->entries[i];
 
-      if (entry->name[0] == '\0'
+      if (entry->name == NULL || entry->name[0] == '\0'
           || (entry->kind == TT_STORE_CONFIG && entry->valid != (entry->table != NULL)))
         abort ();
       if (entry->kind == TT_STORE_CONFIG && entry->table != NULL)
--- a/test/platform/store_test.c
+++ b/test/platform/store_test.c
@@ -48,23 +48,60 @@
 
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
   CU_ASSERT_STRING_EQUAL (request.path, "/objects/servers");
-  (void) strcpy (action.continue_after, "i 1");
+  free (request.path);
+  action.continue_after = "i 1";
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
   CU_ASSERT_STRING_EQUAL (request.path, "/objects/servers?SinceRev=i%201");
+  free (request.path);
   action = (TtPlatformAction){ .op = TT_PLATFORM_WATCH_ENTRIES,
                                .kind = TT_STORE_CONFIG,
                                .version = 530 };
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
   CU_ASSERT_PTR_NOT_NULL (strstr (request.path, "/objects/config?Watch=530&WaitMs="));
   CU_ASSERT (request.timeout_ms > 20000 && request.timeout_ms <= 30000);
+  free (request.path);
   action = (TtPlatformAction){ .op = TT_PLATFORM_REPLACE, .kind = TT_STORE_DAEMONS };
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
   CU_ASSERT_STRING_EQUAL (request.method, "PUT");
   CU_ASSERT_STRING_EQUAL (request.path, "/objects/daemons/d1");
   CU_ASSERT_PTR_NOT_NULL (strstr (request.body, "10.1.0.4"));
+  free (request.path);
   free (request.body);
 }
 
+/// Guards against a page of a list that cannot be continued, a backend server that is never used,
+/// and one that is taken for another, because of long names.
+static void
+test_long_entry_names (void)
+{
+  TtPlatformDialect dialect = tt_store_dialect (&identity);
+  TtPlatformAction action = { .op = TT_PLATFORM_LIST, .kind = TT_STORE_SERVERS };
+  TtPlatformRequest request = { 0 };
+  TtPlatformEvent event;
+  TtError error = { 0 };
+  char name[301];
+  char text[2048];
+
+  memset (name, ' ', sizeof name);
+  name[sizeof name - 1] = '\0';
+  (void) snprintf (
+      text, sizeof text,
+      "{\"Entries\":[{\"Metadata\":{\"Name\":\"%s\",\"Revision\":12},\"Spec\":{\"Service\":"
+      "\"%s\",\"Address\":\"10.1.2.3:8080\",\"Zone\":\"z\",\"Slots\":6,\"State\":"
+      "\"ready\",\"born\":5}}],\"HasMore\":true,\"AsOf\":530}",
+      name, name);
+  CU_ASSERT_EQUAL (decode_servers (TT_PLATFORM_LIST, 200, text, &event), TT_OK);
+  UNIT_REQUIRE (event.entries != NULL && event.entries->count == 1);
+  CU_ASSERT (event.entries->entries[0].valid);
+  CU_ASSERT_STRING_EQUAL (event.entries->entries[0].name, name);
+  CU_ASSERT_STRING_EQUAL (event.entries->entries[0].server.service, name);
+  action.continue_after = event.entries->continue_after;
+  CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
+  CU_ASSERT_EQUAL (strlen (request.path), strlen ("/objects/servers?SinceRev=") + 900);
+  free (request.path);
+  free_event (&event);
+}
+
 /// Guards against using a malformed entry of another writer, and against rejecting the valid
 /// entries of its page.
 static void
@@ -228,6 +265,7 @@
 
 static const UnitTest tests[] = {
   { "request_paths", test_request_paths },
+  { "long_entry_names", test_long_entry_names },
   { "list_with_malformed_entries", test_list_with_malformed_entries },
   { "watch_removal", test_watch_removal },
   { "error_responses", test_error_responses },
--- a/test/platform/table_test.c
+++ b/test/platform/table_test.c
@@ -136,7 +136,7 @@
       CU_ASSERT_EQUAL (strlen (tt_route_find_account (table, tt_table_key_hash ("k1", 2))->name),
                        lengths[i]);
       memset (host, 'N', sizeof host);
-      (void) strcpy (host + lengths[i], ".a:80");
+      memcpy (host + lengths[i], ".a:80", sizeof ".a:80");
       route = tt_route_find (table, host, "/a/1");
       UNIT_REQUIRE (route != NULL);
       CU_ASSERT_EQUAL (route->targets[0].service_id, table->services[0].id);
--- a/test/support/routed_board.c
+++ b/test/support/routed_board.c
@@ -154,8 +154,8 @@
   entry->server.slots = 4;
   entry->server.process_start_ms = 1;
   entry->server.domain_id = tt_hash_string ("z1");
-  (void) snprintf (entry->name, sizeof entry->name, "%s", name);
-  (void) snprintf (entry->server.service, sizeof entry->server.service, "%s", service);
+  entry->name = name;
+  entry->server.service = service;
   (void) snprintf (entry->server.address, sizeof entry->server.address, "127.0.0.1");
 }
 
--- a/test/support/routed_fleet.c
+++ b/test/support/routed_fleet.c
@@ -106,8 +106,8 @@
                                        .process_start_ms = 1,
                                        .leaving = server->leaving,
                                        .domain_id = tt_hash_string ("z0") } };
-  (void) snprintf (entry->name, sizeof entry->name, "%s", server->name);
-  (void) snprintf (entry->server.service, sizeof entry->server.service, ROUTED_PLAIN_SERVICE);
+  entry->name = server->name;
+  entry->server.service = ROUTED_PLAIN_SERVICE;
   (void) snprintf (entry->server.address, sizeof entry->server.address, "127.0.0.1");
 }
 
@@ -138,7 +138,7 @@
                                  .valid = true,
                                  .revision = fleet->daemons[i].listed_revision,
                                  .daemon.port = (uint16_t) (FIRST_PORT + i) };
-        (void) snprintf (entry->name, sizeof entry->name, "%s", fleet->daemons[i].name);
+        entry->name = fleet->daemons[i].name;
         (void) snprintf (entry->daemon.address, sizeof entry->daemon.address, "127.0.0.1");
       }
 }
