fix(fleet): a table that copies do not deliver is read from the store (CONFIG)

Cause: the copy escaped each slash, grew beyond the bound of messages between daemons, and was dropped by the receiver; the result of the send was ignored.

Change: the copy is written without these escapes; the bounds of messages and of the store's answers follow from the platform's object size; a message that is too long is rejected, counted and logged by the sender; after two requests for a newer copy a follower lists the store once.

copies_do_not_arrive and text_does_not_grow failed before the change.

--- a/src/tarragonctl/session.c
+++ b/src/tarragonctl/session.c
@@ -44,6 +44,7 @@
 {
   CtlSession *session = g_new0 (CtlSession, 1);
   TtPlatformClientOptions platform = { .url = options->platform,
+                                       .max_response_bytes = MAX_RESPONSE_BYTES,
                                        .dialect = tt_object_dialect (),
                                        .context = session,
                                        .on_event = on_platform_response };
--- a/src/tarragontrack/board/counter_defs.h
+++ b/src/tarragontrack/board/counter_defs.h
@@ -40,6 +40,7 @@
   X (PEER_RECEIVED, "tarragontrack_peer_messages_received_total", "messages from daemons")         \
   X (PEER_RECEIVED_BYTES, "tarragontrack_peer_bytes_received_total", "bytes from daemons")         \
   X (PEER_REFUSED, "tarragontrack_peer_messages_refused_total", "messages that failed a check")    \
+  X (PEER_UNSENT, "tarragontrack_peer_messages_unsent_total", "messages that were not sent")       \
   X (CONFIG_APPLIED, "tarragontrack_documents_in_force_total", "documents put in force")           \
   X (CONFIG_REFUSED, "tarragontrack_documents_refused_total", "documents refused")                 \
   X (LEASES_LOST, "tarragontrack_leases_lost_total", "leases lost before they were released")      \
--- a/src/tarragontrack/board/fleet_defs.h
+++ b/src/tarragontrack/board/fleet_defs.h
@@ -105,6 +105,13 @@
   uint32_t domain_avoiding; ///< part of peers_avoiding that daemons of this failure domain reported
 } TtFleetBackend;
 
+/// State of fetching a newer copy from other daemons.
+typedef struct
+{
+  int64_t stale_since_us; ///< since when another daemon has a newer copy; 0 = none has
+  uint32_t fetches;       ///< requests for it since then
+} TtCopy;
+
 /// How this daemon learns the loads of the other daemons.
 typedef enum
 {
@@ -126,8 +133,8 @@
   int64_t rest_us;            ///< arrival of those sums; 0 = none arrived
   int64_t next_copy_check_us; ///< next comparison of versions with the other daemons
   int64_t next_fetch_us;
-  int64_t table_stale_since_us;   ///< since when another daemon has a newer table; 0 = none has
-  int64_t servers_stale_since_us; ///< since when another has a newer server list; 0 = none has
-  uint32_t listed_count;          ///< other daemons with an entry in the store
-  uint32_t alive_count;           ///< other daemons with TtDaemon.alive set
+  TtCopy table_copy;
+  TtCopy servers_copy;
+  uint32_t listed_count; ///< other daemons with an entry in the store
+  uint32_t alive_count;  ///< other daemons with TtDaemon.alive set
 } TtFleetSection;
--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -69,7 +69,8 @@
   X (CLAIM_UNCERTAIN, 5201, WARN)                                                                  \
   X (CLAIM_SHARD_FULL, 5202, ERROR)                                                                \
   X (PEER_REFUSED, 6001, WARN)                                                                     \
-  X (PEER_VERSION, 6002, WARN)
+  X (PEER_VERSION, 6002, WARN)                                                                     \
+  X (PEER_UNSENT, 6003, WARN)
 
 typedef enum
 {
--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -74,6 +74,7 @@
 {
   uint64_t revision;        ///< changes up to here were received; 0 = the kind has to be listed
   char *continue_after;     ///< continuation token of the pages received so far; NULL = first page
+  bool list_requested;      ///< the kind is to be listed once, see tt_feed_request_list()
   uint64_t call_id;         ///< id of the call in flight; 0 = none
   int64_t call_started_us;  ///< when that call was started
   int64_t next_call_us;     ///< earliest start of the next call
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -13,6 +13,7 @@
 struct TtPeerDecoder
 {
   char fleet[TT_NAME_MAX];
+  size_t max_bytes; ///< of a message
   TtPeerMessage message;
   TtDocument document;
   TtStoreEntry *servers; ///< entries of the last list of backend servers or its changes
@@ -426,12 +427,14 @@
 }
 
 TtPeerDecoder *
-tt_peer_decoder_new (const char *fleet)
+tt_peer_decoder_new (const char *fleet, size_t max_bytes)
 {
   TtPeerDecoder *decoder = calloc (1, sizeof *decoder);
 
-  if (decoder != NULL)
-    (void) snprintf (decoder->fleet, sizeof decoder->fleet, "%s", fleet);
+  if (decoder == NULL)
+    return NULL;
+  (void) snprintf (decoder->fleet, sizeof decoder->fleet, "%s", fleet);
+  decoder->max_bytes = max_bytes;
   return decoder;
 }
 
@@ -456,10 +459,9 @@
   *message = NULL;
   memset (&decoder->message, 0, sizeof decoder->message);
   decoder->message_size = size;
-  if (size > TT_PEER_MESSAGE_MAX_BYTES)
+  if (size > decoder->max_bytes)
     return tt_error_set (error, TT_E_LIMIT, TT_STEP_PEER_RECEIVE, NULL,
-                         "message of %zu bytes, expected at most %d", size,
-                         TT_PEER_MESSAGE_MAX_BYTES);
+                         "message of %zu bytes, expected at most %zu", size, decoder->max_bytes);
   if (!tt_msgpack_validate (data, size))
     return tt_error_set (error, TT_E_MALFORMED, TT_STEP_PEER_RECEIVE, NULL,
                          "message is not one whole msgpack value");
--- a/src/tarragontrack/codec/peer.h
+++ b/src/tarragontrack/codec/peer.h
@@ -10,8 +10,7 @@
 
 enum
 {
-  /// Maximum message size in bytes, set by the text of a routing table; gossip is much smaller.
-  TT_PEER_MESSAGE_MAX_BYTES = (1 << 20) + 4096
+  TT_PEER_OVERHEAD_BYTES = 4096 ///< largest size of a message without the text of an object
 };
 
 /// Decoder; owns the last decoded message and the records that the message refers to.
@@ -25,8 +24,9 @@
 
 /// tt_peer_decoder_new - allocates a decoder for the messages of one fleet
 ///
+/// ARGUMENTS  max_bytes: longer messages are rejected
 /// RETURN     the decoder, or NULL if memory could not be allocated
-TtPeerDecoder *tt_peer_decoder_new (const char *fleet);
+TtPeerDecoder *tt_peer_decoder_new (const char *fleet, size_t max_bytes);
 
 /// Frees a decoder. @decoder may be NULL.
 void tt_peer_decoder_free (TtPeerDecoder *decoder);
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -62,6 +62,8 @@
 
 static const TtJsonField platform_fields[] = {
   { "url", TT_JSON_STRING, FIELD (platform_url), .required = true },
+  { "object_bytes", TT_JSON_UINT32, FIELD (object_bytes), .minimum = 1024, .maximum = MAX_BYTES,
+    .default_value = 1048576, .unit = "bytes" },
   { "configuration", TT_JSON_CHOICE, FIELD (configuration), .choices = configuration_kinds },
 };
 
--- a/src/tarragontrack/codec/settings_defs.h
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -51,7 +51,8 @@
   TtEndpoint metrics; ///< additional endpoint for operators; empty = none
   TtEndpoint peer;
   char platform_url[TT_URL_MAX];
-  int configuration; ///< TtConfigurationKind
+  uint32_t object_bytes; ///< largest object of the platform
+  int configuration;     ///< TtConfigurationKind
   TtBounds bounds;
   TtCurveKeys curve;
   uint32_t max_requests;
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -30,6 +30,15 @@
   [TT_STORE_CONFIG] = "config", [TT_STORE_SERVERS] = "servers", [TT_STORE_DAEMONS] = "daemons"
 };
 
+/// True if the entries of a kind are watched after they were listed. The reader of a failure domain
+/// watches configuration and backend servers for all of its daemons. Daemons learn of each other
+/// from status messages.
+static bool
+is_watched (const TtBoard *board, TtStoreKind kind)
+{
+  return kind != TT_STORE_DAEMONS && board->reader.reads_store;
+}
+
 /// Sets the continuation token of a list; NULL = first page. Without memory for it, the list starts
 /// anew.
 static void
@@ -45,9 +54,19 @@
   stream->revision = 0;
   set_continue_after (stream, NULL);
   stream->call_id = 0;
+  stream->list_requested = false;
   stream->next_call_us = now_us;
 }
 
+void
+tt_feed_request_list (TtBoard *board, TtStoreKind kind)
+{
+  TtFeedStream *stream = &board->feed.streams[kind];
+
+  if (stream->call_id == 0 && !is_watched (board, kind))
+    stream->list_requested = true;
+}
+
 static void
 close_feed (void *context, TtBoard *board)
 {
@@ -156,6 +175,7 @@
       return;
     }
   set_continue_after (stream, NULL);
+  stream->list_requested = false;
   stream->revision = entries->revision;
 }
 
@@ -183,15 +203,6 @@
     }
 }
 
-/// True if the entries of a kind are watched after they were listed. The reader of a failure domain
-/// watches configuration and backend servers for all of its daemons. Daemons learn of each other
-/// from status messages.
-static bool
-is_watched (const TtBoard *board, TtStoreKind kind)
-{
-  return kind != TT_STORE_DAEMONS && board->reader.reads_store;
-}
-
 /// False for a page of a list after which the list cannot be continued, because none of its entries
 /// has a readable name.
 static bool
@@ -217,7 +228,13 @@
         continue;
       if (event->platform.code != TT_OK && stream->revision != 0
           && !is_watched (board, (TtStoreKind) kind))
-        stream->call_id = 0; // a watch of a daemon that no longer reads; it is not repeated
+        {
+          // A watch of a daemon that no longer reads, or a list that was requested once; it is not
+          // repeated.
+          stream->call_id = 0;
+          stream->list_requested = false;
+          set_continue_after (stream, NULL);
+        }
       else if (event->platform.code == TT_OK && event->platform.entries != NULL
                && has_continuation (event->platform.entries))
         {
@@ -285,10 +302,13 @@
       if (stream->call_id != 0 && now_us - stream->call_started_us > CALL_TIMEOUT_US)
         handle_call_failure (board, stream, TT_E_TIMEOUT, now_us);
       if (stream->call_id != 0 || now_us < stream->next_call_us
-          || (stream->revision != 0 && !is_watched (board, (TtStoreKind) kind)))
+          || (stream->revision != 0 && !stream->list_requested
+              && !is_watched (board, (TtStoreKind) kind)))
         continue;
       stream->call_id
-          = call_store (board, stream->revision == 0 ? TT_PLATFORM_LIST : TT_PLATFORM_WATCH_ENTRIES,
+          = call_store (board,
+                        stream->revision == 0 || stream->list_requested ? TT_PLATFORM_LIST
+                                                                        : TT_PLATFORM_WATCH_ENTRIES,
                         (TtStoreKind) kind, stream);
       stream->call_started_us = now_us;
     }
--- a/src/tarragontrack/control/feed.h
+++ b/src/tarragontrack/control/feed.h
@@ -1,7 +1,10 @@
 /// Listing and watching the kinds of store entries.
 #pragma once
 
-#include "tarragontrack/board/store_defs.h"
+#include "tarragontrack/board/board_defs.h"
 
 /// Makes the next call of a kind a list from its first page. A call in flight is forgotten.
 void tt_feed_relist (TtFeedStream *stream, int64_t now_us);
+
+/// Makes a daemon that does not watch a kind list it once. A call that fails is not repeated.
+void tt_feed_request_list (TtBoard *board, TtStoreKind kind);
--- a/src/tarragontrack/control/fleet_copies.c
+++ b/src/tarragontrack/control/fleet_copies.c
@@ -5,6 +5,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/store.h"
+#include "tarragontrack/control/feed.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/reader.h"
 #include "tarragontrack/control/registry.h"
@@ -19,6 +20,9 @@
 /// Interval between two fetches.
 #define FETCH_INTERVAL_US (300 * TT_MILLISECOND_US)
 
+/// Requests for a copy after which the store is read as well. A power of two.
+#define FETCHES_BEFORE_LIST 2
+
 static void
 send_fetch_request (TtBoard *board, const TtDaemon *daemon, TtPeerType type)
 {
@@ -120,19 +124,31 @@
     send_servers (board, &message->status, now_us);
 }
 
-/// Updates the time since when this daemon's copy is stale. RETURN true if a newer copy should be
-/// fetched now.
+/// Updates since when this daemon's copy is stale. RETURN true if a newer copy should be fetched
+/// now.
 static bool
-is_fetch_due (int64_t *stale_since_us, bool is_stale, bool store_lost, int64_t now_us)
+is_fetch_due (TtCopy *copy, bool is_stale, bool store_lost, int64_t now_us)
 {
   if (!is_stale)
     {
-      *stale_since_us = 0;
+      *copy = (TtCopy){ 0 };
       return false;
     }
-  if (*stale_since_us == 0)
-    *stale_since_us = now_us;
-  return store_lost || now_us - *stale_since_us >= FETCH_DELAY_US;
+  if (copy->stale_since_us == 0)
+    copy->stale_since_us = now_us;
+  return store_lost || now_us - copy->stale_since_us >= FETCH_DELAY_US;
+}
+
+/// Requests a newer copy from another daemon. If the copy still has not arrived after
+/// FETCHES_BEFORE_LIST requests, for example because no message can hold it, the store is read as
+/// well, less and less often.
+static void
+fetch (TtBoard *board, TtCopy *copy, const TtDaemon *source, TtPeerType type, TtStoreKind kind)
+{
+  if (copy->fetches >= FETCHES_BEFORE_LIST && (copy->fetches & (copy->fetches - 1)) == 0)
+    tt_feed_request_list (board, kind);
+  copy->fetches++;
+  send_fetch_request (board, source, type);
 }
 
 /// True if the daemon's list of backend servers may be copied. While the store serves a reader of
@@ -173,17 +189,18 @@
         servers_source = daemon;
     }
   bool fetch_table
-      = is_fetch_due (&section->table_stale_since_us, table_source != NULL,
+      = is_fetch_due (&section->table_copy, table_source != NULL,
                       board->feed.streams[TT_STORE_CONFIG].failing_since_us != 0, now_us);
   bool fetch_servers
-      = is_fetch_due (&section->servers_stale_since_us, servers_source != NULL,
+      = is_fetch_due (&section->servers_copy, servers_source != NULL,
                       board->feed.streams[TT_STORE_SERVERS].failing_since_us != 0, now_us);
 
   if (now_us < section->next_fetch_us || (!fetch_table && !fetch_servers))
     return;
   section->next_fetch_us = now_us + FETCH_INTERVAL_US;
   if (fetch_table)
-    send_fetch_request (board, table_source, TT_PEER_TABLE_REQUEST);
+    fetch (board, &section->table_copy, table_source, TT_PEER_TABLE_REQUEST, TT_STORE_CONFIG);
   if (fetch_servers)
-    send_fetch_request (board, servers_source, TT_PEER_SERVERS_REQUEST);
+    fetch (board, &section->servers_copy, servers_source, TT_PEER_SERVERS_REQUEST,
+           TT_STORE_SERVERS);
 }
--- a/src/tarragontrack/io/peer_socket.c
+++ b/src/tarragontrack/io/peer_socket.c
@@ -242,7 +242,7 @@
   tt_peer_zmq_set_option (peer_socket->inbound_socket, ZMQ_IPV6, 1);
   tt_peer_zmq_set_option (peer_socket->inbound_socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
   (void) zmq_setsockopt (peer_socket->inbound_socket, ZMQ_MAXMSGSIZE,
-                         &(int64_t){ TT_PEER_MESSAGE_MAX_BYTES }, sizeof (int64_t));
+                         &(int64_t){ (int64_t) peer_socket->max_message_bytes }, sizeof (int64_t));
   if (peer_socket->keys.enabled)
     {
       tt_peer_zmq_set_option (peer_socket->inbound_socket, ZMQ_CURVE_SERVER, 1);
@@ -314,6 +314,7 @@
   peer_socket->context = options->context;
   peer_socket->on_message = options->on_message;
   peer_socket->on_rejected = options->on_rejected;
+  peer_socket->max_message_bytes = options->max_message_bytes;
   (void) snprintf (peer_socket->fleet, sizeof peer_socket->fleet, "%s", options->fleet);
   tt_peer_endpoint_format (peer_socket->endpoint, options->address, options->port);
   tt_list_init (&peer_socket->links);
@@ -322,7 +323,7 @@
   peer_socket->tick_timer.data = peer_socket;
   peer_socket->read_timer.data = peer_socket;
   peer_socket->open_handles = 2;
-  peer_socket->decoder = tt_peer_decoder_new (options->fleet);
+  peer_socket->decoder = tt_peer_decoder_new (options->fleet, options->max_message_bytes);
   peer_socket->zmq_context = zmq_ctx_new ();
   if (!copy_keys (&peer_socket->keys, options->keys))
     code = tt_error_set (error, TT_E_INVALID, TT_STEP_LISTEN, peer_socket->endpoint,
@@ -346,7 +347,7 @@
 
 int
 tt_peer_socket_send (TtPeerSocket *peer_socket, const char *address, uint16_t port,
-                     const TtPeerMessage *message)
+                     const TtPeerMessage *message, TtError *error)
 {
   char endpoint[TT_PEER_ENDPOINT_MAX];
   TtPeerLink *link;
@@ -354,15 +355,32 @@
   size_t size;
   int code = tt_peer_encode (message, peer_socket->fleet, &data, &size);
 
-  if (code != TT_OK)
-    return code;
   tt_peer_endpoint_format (endpoint, address, port);
+  if (code != TT_OK)
+    {
+      peer_socket->stats.dropped++;
+      return tt_error_set (error, code, TT_STEP_PEER_SEND, endpoint, "type %d cannot be encoded",
+                           (int) message->type);
+    }
+  if (size > peer_socket->max_message_bytes)
+    {
+      peer_socket->stats.dropped++;
+      free (data);
+      return tt_error_set (error, TT_E_INVALID, TT_STEP_PEER_SEND, endpoint,
+                           "type %d has %zu bytes, expected at most %zu", (int) message->type, size,
+                           peer_socket->max_message_bytes);
+    }
   link = tt_peer_link_find_or_open (peer_socket, endpoint);
-  if (link != NULL)
-    return tt_peer_link_send (link, data, size);
-  peer_socket->stats.dropped++;
-  free (data);
-  return TT_E_NO_MEMORY;
+  if (link == NULL)
+    {
+      peer_socket->stats.dropped++;
+      free (data);
+      return tt_error_set (error, TT_E_NO_MEMORY, TT_STEP_PEER_SEND, endpoint, "link");
+    }
+  code = tt_peer_link_send (link, data, size);
+  return code != TT_OK
+             ? tt_error_set (error, code, TT_STEP_PEER_SEND, endpoint, "the queue is full")
+             : TT_OK;
 }
 
 int
--- a/src/tarragontrack/io/peer_socket.h
+++ b/src/tarragontrack/io/peer_socket.h
@@ -27,7 +27,8 @@
   const char *fleet;   ///< copied
   const char *address; ///< IP address to listen on; copied
   uint16_t port;
-  const TtCurveKeys *keys; ///< copied; NULL or not enabled: no encryption
+  size_t max_message_bytes; ///< longer messages are neither sent nor received
+  const TtCurveKeys *keys;  ///< copied; NULL or not enabled: no encryption
   void *context;
   /// @message is valid during the call. Neither callback may change keys or free the socket.
   void (*on_message) (void *context, const TtPeerMessage *message);
@@ -42,7 +43,7 @@
   uint64_t received;
   uint64_t received_bytes;
   uint64_t rejected; ///< messages that failed a check
-  uint64_t dropped;  ///< messages not sent: queue full, or not connected in time
+  uint64_t dropped;  ///< messages not sent: too long, queue full, or not connected in time
 } TtPeerSocketStats;
 
 /// tt_peer_socket_new - creates the socket and starts to listen
@@ -53,9 +54,10 @@
 
 /// tt_peer_socket_send - sends a message, or drops and counts it
 ///
-/// RETURN     0, the error number of tt_peer_encode(), TT_E_LIMIT (dropped) or TT_E_NO_MEMORY
+/// RETURN     0, the error number of tt_peer_encode(), TT_E_INVALID (too long), TT_E_LIMIT (the
+///            queue is full) or TT_E_NO_MEMORY
 int tt_peer_socket_send (TtPeerSocket *peer_socket, const char *address, uint16_t port,
-                         const TtPeerMessage *message);
+                         const TtPeerMessage *message, TtError *error);
 
 /// tt_peer_socket_set_keys - replaces the keys, and closes and reopens all connections
 ///
--- a/src/tarragontrack/io/peer_socket_defs.h
+++ b/src/tarragontrack/io/peer_socket_defs.h
@@ -30,6 +30,7 @@
   void (*on_rejected) (void *context, const TtError *error);
   char fleet[TT_NAME_MAX];
   char endpoint[TT_PEER_ENDPOINT_MAX];
+  size_t max_message_bytes;
   TtCurveKeys keys;
   void *zmq_context;
   void *inbound_socket; ///< PULL
--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  BASE_URL_MAX = 64,
-  RESPONSE_MAX_BYTES = 4 * 1000 * 1000 ///< must hold a page of a list with its JSON framing
+  BASE_URL_MAX = 64
 };
 
 struct TtPlatformClient
@@ -20,6 +19,7 @@
   void (*on_event) (void *context, const TtEvent *event);
   TtList open_calls;   ///< PlatformCall.link
   TtList failed_calls; ///< PlatformCall.link, calls that failed before they were sent
+  size_t max_response_bytes;
   char base_url[BASE_URL_MAX];
 };
 
@@ -138,7 +138,7 @@
 {
   PlatformCall *call = context;
 
-  if (call->size + size > RESPONSE_MAX_BYTES)
+  if (call->size + size > call->client->max_response_bytes)
     {
       abort_call (call, TT_E_MALFORMED, "the answer exceeds the maximum size of an object");
       return;
@@ -240,6 +240,7 @@
   client->dialect = options->dialect;
   client->context = options->context;
   client->on_event = options->on_event;
+  client->max_response_bytes = options->max_response_bytes;
   tt_list_init (&client->open_calls);
   tt_list_init (&client->failed_calls);
   (void) snprintf (client->base_url, sizeof client->base_url, "%s", options->url);
--- a/src/tarragontrack/io/platform_client.h
+++ b/src/tarragontrack/io/platform_client.h
@@ -17,7 +17,8 @@
 
 typedef struct
 {
-  const char *url; ///< http://IP:PORT without a path; copied
+  const char *url;           ///< http://IP:PORT without a path; copied
+  size_t max_response_bytes; ///< a longer response fails
   TtPlatformDialect dialect;
   void *context;
   /// Receives the result of a call as an event of type TT_EVENT_PLATFORM_RESPONSE, valid during the
--- a/src/tarragontrack/io/router.c
+++ b/src/tarragontrack/io/router.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/io/router.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/codec/peer.h"
 #include "tarragontrack/control/controllers.h"
 #include "tarragontrack/io/backend_client.h"
 #include "tarragontrack/io/caller_server.h"
@@ -48,6 +49,23 @@
   int64_t exit_at_us; ///< latest time at which the loop stops; 0 = the board has not drained yet
 };
 
+/// Sends a message to another daemon. Messages may be lost, and a message that cannot be sent is
+/// counted; whoever misses it fetches the news or reads the store. Logs a message that can never be
+/// sent.
+static void
+send_to_peer (TtRouter *router, const TtPeerAction *action)
+{
+  TtError error = { 0 };
+  char text[TT_LOG_TEXT_MAX];
+
+  if (tt_peer_socket_send (router->peer_socket, action->address, action->port, action->message,
+                           &error)
+      != TT_E_INVALID)
+    return;
+  tt_error_format (&error, text, sizeof text);
+  tt_log_write (TT_LOG_PEER_UNSENT, text);
+}
+
 /// Executes one action of the board.
 static void
 execute_action (void *context, TtAction *action, int64_t now_us)
@@ -73,9 +91,7 @@
       tt_platform_client_call (router->platform_client, &action->platform);
       break;
     case TT_ACTION_PEER_SEND:
-      // Messages between daemons may be lost; the peer socket counts those that it cannot send.
-      (void) tt_peer_socket_send (router->peer_socket, action->peer.address, action->peer.port,
-                                  action->peer.message);
+      send_to_peer (router, &action->peer);
       break;
     case TT_ACTION_ORDER:
       tt_backend_client_send_order (router->backend_client, &action->order);
@@ -156,6 +172,7 @@
   tt_board_counter_add (router->board, TT_COUNT_PEER_RECEIVED_BYTES,
                         current->received_bytes - last->received_bytes);
   tt_board_counter_add (router->board, TT_COUNT_PEER_REFUSED, current->rejected - last->rejected);
+  tt_board_counter_add (router->board, TT_COUNT_PEER_UNSENT, current->dropped - last->dropped);
   *last = *current;
 }
 
@@ -303,14 +320,16 @@
   const TtFront *front = &router->pump.front;
   TtBackendClientOptions backend_options;
   TtPlatformClientOptions platform_options = { .context = router, .on_event = on_platform_event };
-  TtPeerSocketOptions peer_options = { .loop = &router->loop,
-                                       .fleet = router->settings->fleet,
-                                       .address = router->settings->peer.address,
-                                       .port = router->settings->peer.port,
-                                       .keys = &router->settings->curve,
-                                       .context = router,
-                                       .on_message = on_peer_message,
-                                       .on_rejected = on_peer_rejected };
+  TtPeerSocketOptions peer_options
+      = { .loop = &router->loop,
+          .fleet = router->settings->fleet,
+          .address = router->settings->peer.address,
+          .port = router->settings->peer.port,
+          .max_message_bytes = router->settings->object_bytes + TT_PEER_OVERHEAD_BYTES,
+          .keys = &router->settings->curve,
+          .context = router,
+          .on_message = on_peer_message,
+          .on_rejected = on_peer_rejected };
 
   router->http = tt_http_client_new (&router->loop);
   if (router->http == NULL)
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -18,6 +18,10 @@
 #define OPERATOR_MAX_CONNECTIONS 64
 #define OPERATOR_MAX_BODY_BYTES 1024
 
+/// An answer of the platform holds a page of a list, or the largest object with its status and
+/// escaped text.
+#define RESPONSE_OBJECTS 4
+
 static void
 copy_text (char *target, size_t size, const char *text)
 {
@@ -84,4 +88,5 @@
 tt_router_platform_options (const TtSettings *settings, TtPlatformClientOptions *options)
 {
   options->url = settings->platform_url;
+  options->max_response_bytes = RESPONSE_OBJECTS * (size_t) settings->object_bytes;
 }
--- a/src/tarragontrack/platform/table.c
+++ b/src/tarragontrack/platform/table.c
@@ -239,11 +239,13 @@
   table->idle_timeout_ms = tt_field_number32 (limits, "IdleTimeoutMs", 0);
 }
 
-/// Stores the JSON text of the configuration, which is sent to other daemons.
+/// Stores the JSON text of the configuration, which is sent to other daemons. It is not longer than
+/// the store's.
 static int
 store_text (json_object *spec, TtRouteTable *table, TtError *error)
 {
-  const char *text = json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN);
+  const char *text = json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN
+                                                               | JSON_C_TO_STRING_NOSLASHESCAPE);
 
   table->text = strdup (text);
   if (table->text == NULL)
--- a/test/codec/peer_test.c
+++ b/test/codec/peer_test.c
@@ -14,6 +14,11 @@
   GOSSIP_MESSAGES_PER_S = 2 ///< see docs/design.md, section 5.8
 };
 
+enum
+{
+  MAX_BYTES = (1 << 20) + TT_PEER_OVERHEAD_BYTES ///< of a message
+};
+
 static TtPeerMessage message;
 
 /// Fills in a gossip message with the maximum number of records.
@@ -95,7 +100,7 @@
 static void
 gossip_round_trip (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   size_t size;
 
@@ -118,7 +123,7 @@
 static void
 slot_grant_and_leave_round_trip (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   size_t size;
 
@@ -163,7 +168,7 @@
 {
   static const char valid_text[]
       = "{\"team\": \"licensing\", \"schema\": 1, \"services\": [], \"accounts\": []} // note";
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   size_t size;
 
@@ -187,7 +192,7 @@
 static int
 decode_hand_packed (unsigned version, unsigned type, unsigned extra)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -232,7 +237,7 @@
 static void
 message_of_other_fleet (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   size_t size;
 
@@ -247,7 +252,7 @@
 empty_fleet_name (void)
 {
   static const char text[] = "\x96\x01\xa0\x06\x07\x08\x90";
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
 
   CU_ASSERT_EQUAL (tt_peer_decode (decoder, text, sizeof text - 1, &decoded, NULL), TT_E_AUTH);
@@ -268,7 +273,7 @@
                                        "\x01\x01" };
   static const size_t sizes[] = { 5, 5, 5, 3, 6, 1, 1, 2 };
   static char nested[200];
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
 
   for (unsigned i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
@@ -279,8 +284,7 @@
     }
   memset (nested, 0x91, sizeof nested - 1);
   CU_ASSERT_EQUAL (tt_peer_decode (decoder, nested, sizeof nested, &decoded, NULL), TT_E_LIMIT);
-  CU_ASSERT_EQUAL (tt_peer_decode (decoder, nested, TT_PEER_MESSAGE_MAX_BYTES + 1, &decoded, NULL),
-                   TT_E_LIMIT);
+  CU_ASSERT_EQUAL (tt_peer_decode (decoder, nested, MAX_BYTES + 1, &decoded, NULL), TT_E_LIMIT);
   CU_ASSERT_EQUAL (tt_peer_decode (decoder, nested, 0, &decoded, NULL), TT_E_MALFORMED);
   tt_peer_decoder_free (decoder);
 }
@@ -290,7 +294,7 @@
 static void
 truncated_or_corrupted (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   TtRng rng;
   char *data;
@@ -342,7 +346,7 @@
 static void
 status_round_trip (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   char *data;
 
@@ -423,7 +427,7 @@
 static void
 table_and_servers_round_trip (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   TtStoreEntry entry = { .kind = TT_STORE_SERVERS, .name = "i-1", .valid = true, .revision = 4 };
   const TtPeerMessage *decoded;
   char *data;
@@ -473,7 +477,7 @@
 static void
 long_names_round_trip (void)
 {
-  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet");
+  TtPeerDecoder *decoder = tt_peer_decoder_new ("fleet", MAX_BYTES);
   const TtPeerMessage *decoded;
   char name[301];
   TtStoreEntry entries[2]
--- a/test/control/reader_test.c
+++ b/test/control/reader_test.c
@@ -208,6 +208,20 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against followers that never get a change because its copies do not reach them, for
+/// example because they are too large for a message (CONFIG).
+static void
+copies_do_not_arrive (void)
+{
+  open_fleet (12, 2);
+  fleet.loses_copies = true;
+  change_and_settle (true);
+  (void) routed_fleet_count_calls (&fleet);
+  routed_fleet_advance (&fleet, 5000);
+  CU_ASSERT (routed_fleet_count_calls (&fleet) <= 2); // nobody lists what it knows
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against a daemon that starts into a running fleet and serves with an old copy, or makes
 /// the reader stop.
 static void
@@ -257,6 +271,7 @@
   { "suspended_reader_returns", suspended_reader_returns },
   { "store_is_away", store_is_away },
   { "lapsed_entries_of_reader", lapsed_entries_of_reader },
+  { "copies_do_not_arrive", copies_do_not_arrive },
   { "daemon_is_restarted", daemon_is_restarted },
   { "most_daemons_are_killed", most_daemons_are_killed },
 };
--- a/test/fuzz/peer_fuzz.c
+++ b/test/fuzz/peer_fuzz.c
@@ -17,7 +17,7 @@
   size_t reencoded_size = 0;
 
   if (decoder == NULL)
-    decoder = tt_peer_decoder_new ("fleet");
+    decoder = tt_peer_decoder_new ("fleet", (1 << 20) + TT_PEER_OVERHEAD_BYTES);
   if (tt_peer_decode (decoder, data, size, &message, NULL) != TT_OK)
     return 0;
   if (tt_peer_encode (message, "fleet", &encoded, &encoded_size) != TT_OK
--- a/test/io/peer_socket_test.c
+++ b/test/io/peer_socket_test.c
@@ -6,6 +6,7 @@
 
 enum
 {
+  MAX_BYTES = 100000, ///< of a message
   WAIT_MS = 5000,     ///< longest wait for an expected message
   NO_MESSAGE_MS = 700 ///< wait during which no message may arrive
 };
@@ -80,6 +81,7 @@
   TtPeerSocketOptions options = { .loop = &fixture->loop,
                                   .fleet = fleet,
                                   .address = "127.0.0.1",
+                                  .max_message_bytes = MAX_BYTES,
                                   .keys = keys,
                                   .context = peer,
                                   .on_message = on_message,
@@ -115,7 +117,7 @@
   TtPeerMessage message
       = { .type = TT_PEER_DOCUMENT_REQUEST, .sender_id = 1, .document = { .epoch = epoch } };
 
-  return tt_peer_socket_send (fixture->a.handle, "127.0.0.1", fixture->b.port, &message);
+  return tt_peer_socket_send (fixture->a.handle, "127.0.0.1", fixture->b.port, &message, NULL);
 }
 
 /// Guards against losing the first message of a link, and against leaving messages unread because
@@ -162,6 +164,34 @@
   close_fixture (&fixture);
 }
 
+/// Guards against a message that is sent although the receiver drops it for its length, and whose
+/// loss nobody sees.
+static void
+test_long_message_is_rejected (void)
+{
+  static char text[MAX_BYTES + 1];
+  TtPeerMessage message = { .type = TT_PEER_TABLE,
+                            .sender_id = 1,
+                            .table = { .text = text, .text_size = MAX_BYTES } };
+  TtError error = { 0 };
+  Fixture fixture;
+
+  memset (text, 'x', MAX_BYTES);
+  open_fixture (&fixture);
+  open_peer (&fixture, &fixture.a, "fleet", NULL);
+  open_peer (&fixture, &fixture.b, "fleet", NULL);
+  CU_ASSERT_EQUAL (
+      tt_peer_socket_send (fixture.a.handle, "127.0.0.1", fixture.b.port, &message, &error),
+      TT_E_INVALID);
+  CU_ASSERT_EQUAL (tt_peer_socket_stats (fixture.a.handle)->dropped, 1);
+  message.table.text_size = MAX_BYTES - 100;
+  CU_ASSERT_EQUAL (
+      tt_peer_socket_send (fixture.a.handle, "127.0.0.1", fixture.b.port, &message, &error), TT_OK);
+  run_until (&fixture, &fixture.b, 1, WAIT_MS);
+  CU_ASSERT_EQUAL (fixture.b.received, 1);
+  close_fixture (&fixture);
+}
+
 /// Guards against accepting messages of another fleet.
 static void
 test_other_fleet_is_refused (void)
@@ -266,6 +296,7 @@
 }
 
 static const UnitTest tests[] = {
+  { "long_message_is_rejected", test_long_message_is_rejected },
   { "burst_is_read", test_burst_is_read },
   { "queue_is_bounded", test_queue_is_bounded },
   { "other_fleet_is_refused", test_other_fleet_is_refused },
--- a/test/io/platform_client_test.c
+++ b/test/io/platform_client_test.c
@@ -135,6 +135,7 @@
   fixture->client
       = tt_platform_client_new (&fixture->loop, fixture->http,
                                 &(TtPlatformClientOptions){ .url = url,
+                                                            .max_response_bytes = 4000000,
                                                             .dialect = tt_object_dialect (),
                                                             .context = fixture,
                                                             .on_event = check_event });
--- a/test/platform/table_test.c
+++ b/test/platform/table_test.c
@@ -206,7 +206,23 @@
     }
 }
 
+/// Guards against a text for other daemons that is longer than the store's, so that a message
+/// cannot hold it although the store accepts the configuration.
+static void
+test_text_does_not_grow (void)
+{
+  static const char text[]
+      = "{\"Version\":7,\"Routes\":[" ROUTE_JSON (",\"Note\":\"\303\260/\\u00e9\"") "]}";
+  TtRouteTable *table = parse (text);
+
+  UNIT_REQUIRE (table != NULL);
+  CU_ASSERT (table->text_size <= sizeof text - 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (table->text, "/a/"));
+  tt_route_table_free (table);
+}
+
 static const UnitTest tests[] = {
+  { "text_does_not_grow", test_text_does_not_grow },
   { "complete_configuration", test_complete_configuration },
   { "retry_policy", test_retry_policy },
   { "empty_account_list", test_empty_account_list },
--- a/test/support/routed_fleet.c
+++ b/test/support/routed_fleet.c
@@ -227,6 +227,13 @@
   tt_route_table_free (table.table);
 }
 
+static bool
+is_copy (const TtPeerMessage *message)
+{
+  return message->type == TT_PEER_TABLE || message->type == TT_PEER_SERVERS
+         || message->type == TT_PEER_SERVER_CHANGES;
+}
+
 static void
 deliver_messages (RoutedFleet *fleet)
 {
@@ -238,7 +245,8 @@
       TtAction *action = fleet->messages[i].action;
       unsigned index = action->peer.port - FIRST_PORT;
 
-      if (index < fleet->count && fleet->daemons[index].running && !fleet->daemons[index].frozen)
+      if (index < fleet->count && fleet->daemons[index].running && !fleet->daemons[index].frozen
+          && !(fleet->loses_copies && is_copy (action->peer.message)))
         deliver (fleet, action->peer.message, &fleet->daemons[index]);
       tt_board_release_action (fleet->messages[i].board, action);
     }
--- a/test/support/routed_fleet.h
+++ b/test/support/routed_fleet.h
@@ -64,6 +64,7 @@
     TtAction *action;
   } messages[ROUTED_FLEET_ACTIONS];
   unsigned message_count;
+  bool loses_copies; ///< messages with a routing table or with backend servers do not arrive
 } RoutedFleet;
 
 /// Starts @count daemons named "d0", "d1", ... that are divided evenly over @domains failure
