fix(feed): the cut of a waiting watch is no outage of the store (DRAIN)

Cause: each failed call counted as an outage in which entries may lapse, and a missing entry is then kept for 2.9 s.

Change: connections that are closed without an answer count as an outage only if no call succeeds for a report interval; after a failure the next watch returns at once, so that the end of the failure is known.

--- a/src/tarragontrack/board/action_defs.h
+++ b/src/tarragontrack/board/action_defs.h
@@ -61,6 +61,7 @@
   TtStoreKind kind; ///< kind of the store entries: LIST, WATCH_ENTRIES, CREATE and REPLACE
   /// LIST: continue after this name, valid until the next step; NULL = from the start.
   const char *continue_after;
+  bool answers_at_once; ///< WATCH_ENTRIES: does not wait for a change
   uint64_t version;
   const TtObject *object; ///< PUT: owned by the controller, valid until the next step
 } TtPlatformAction;
--- a/src/tarragontrack/board/bounds_defs.h
+++ b/src/tarragontrack/board/bounds_defs.h
@@ -14,5 +14,6 @@
   double repeat_slack; ///< additional repeated sends allowed in one window
   uint32_t repeat_window_ms; ///< window over which repeated sends are counted
   uint32_t settle_ms;        ///< time after a disruption within which the bounds above hold again
+  uint32_t report_ms;        ///< interval of a backend server's reports to the platform
   uint32_t leaving_ms; ///< time for which a backend server still serves after announcing shutdown
 } TtBounds;
--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -80,7 +80,8 @@
   uint64_t call_id;
   TtPlatformOp op;
   int code;                ///< 0, TT_E_CONFLICT, TT_E_NOT_FOUND, TT_E_TIMEOUT (effect unknown),
-                           ///< TT_E_UNAVAILABLE (no effect), TT_E_MALFORMED
+                           ///< TT_E_UNAVAILABLE (no effect), TT_E_MALFORMED, TT_E_CRASHED (a
+                           ///< read whose connection the platform closed without a response)
   uint64_t version;        ///< current version of the object; 0 = absent
   bool unchanged;          ///< WATCH and HOSTS: the version equals the one in the call
   const TtObject *object;  ///< valid during the step; NULL if absent or unchanged
--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -80,7 +80,9 @@
   int64_t next_call_us;     ///< earliest start of the next call
   uint32_t failures;        ///< consecutive failed calls
   int64_t failing_since_us; ///< when calls began to fail; 0 = the last call succeeded
-  int64_t last_failed_call_us; ///< start of the last call that failed; 0 = none failed
+  bool cuts_only;           ///< since then, calls only failed by closed connections
+  int64_t last_failure_us;  ///< start of the last failed call, or when a waiting watch was cut
+  int64_t last_failed_call_us; ///< start of the last call that failed in an outage; 0 = none
 } TtFeedStream;
 
 typedef struct
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -78,6 +78,8 @@
     .maximum = MAX_TIMEOUT_MS, .default_value = 10000, .unit = "ms" },
   { "settle_ms", TT_JSON_DURATION, FIELD (bounds.settle_ms), .minimum = 200,
     .maximum = MAX_TIMEOUT_MS, .default_value = 3000, .unit = "ms" },
+  { "report_ms", TT_JSON_DURATION, FIELD (bounds.report_ms), .minimum = 10,
+    .maximum = MAX_TIMEOUT_MS, .default_value = 1000, .unit = "ms" },
   { "leaving_ms", TT_JSON_DURATION, FIELD (bounds.leaving_ms), .minimum = 100,
     .maximum = MAX_TIMEOUT_MS, .default_value = 2000, .unit = "ms" },
 };
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -91,6 +91,8 @@
   if (stream != NULL)
     {
       action->platform.version = stream->revision;
+      // After a failure, a watch that waits would not tell when the store serves again.
+      action->platform.answers_at_once = stream->failing_since_us != 0;
       action->platform.continue_after = stream->continue_after;
     }
   return action->platform.call_id;
@@ -122,6 +124,44 @@
   section->loss_logged = lost;
 }
 
+bool
+tt_feed_is_outage (const TtBoard *board, const TtFeedStream *stream, int64_t now_us)
+{
+  int64_t report_us = board->config.bounds.report_ms * TT_MILLISECOND_US;
+
+  return stream->failing_since_us != 0
+         && (!stream->cuts_only || now_us - stream->failing_since_us >= report_us);
+}
+
+/// Records a failed call. @cut: the store closed the connection without a response.
+static void
+record_failure (TtFeedStream *stream, bool cut, int64_t now_us)
+{
+  bool first = stream->failing_since_us == 0;
+
+  stream->failures++;
+  if (first)
+    {
+      stream->failing_since_us = now_us;
+      stream->cuts_only = true;
+    }
+  stream->cuts_only = stream->cuts_only && cut;
+  // A watch that is cut was waiting at a store that served.
+  stream->last_failure_us = first && cut ? now_us : stream->call_started_us;
+  if (!stream->cuts_only)
+    stream->last_failed_call_us = stream->last_failure_us;
+}
+
+/// Ends a series of failed calls.
+static void
+record_success (const TtBoard *board, TtFeedStream *stream, int64_t now_us)
+{
+  if (tt_feed_is_outage (board, stream, now_us))
+    stream->last_failed_call_us = stream->last_failure_us;
+  stream->failures = 0;
+  stream->failing_since_us = 0;
+}
+
 static void
 handle_call_failure (TtBoard *board, TtFeedStream *stream, int code, int64_t now_us)
 {
@@ -137,10 +177,7 @@
       return;
     }
   tt_board_counter_add (board, TT_COUNT_PLATFORM_ERRORS, 1);
-  stream->failures++;
-  stream->last_failed_call_us = stream->call_started_us;
-  if (stream->failing_since_us == 0)
-    stream->failing_since_us = now_us;
+  record_failure (stream, code == TT_E_CRASHED, now_us);
   if (backoff_us > MAX_BACKOFF_US)
     backoff_us = MAX_BACKOFF_US;
   // Jitter over half the delay, so that the daemons do not all retry at the same time.
@@ -164,11 +201,10 @@
                     int64_t now_us)
 {
   stream->call_id = 0;
-  stream->failures = 0;
   stream->next_call_us = now_us;
   if (entries->count > 0 && !entries->has_more)
     stream->next_call_us += batch_delay_us (board, entries->kind);
-  stream->failing_since_us = 0;
+  record_success (board, stream, now_us);
   if (entries->is_list && entries->has_more)
     {
       set_continue_after (stream, entries->continue_after);
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/feed.h"
 #include "tarragontrack/control/notice.h"
 #include <stdio.h>
 #include <string.h>
@@ -138,7 +139,7 @@
   const TtFeedStream *stream = &board->feed.streams[TT_STORE_SERVERS];
   int64_t end_us = board->registry.lapse_until_us;
 
-  if (stream->failing_since_us != 0)
+  if (tt_feed_is_outage (board, stream, now_us))
     end_us = now_us + lapse_time_us (board);
   else if (stream->last_failed_call_us != 0
            && stream->last_failed_call_us + lapse_time_us (board) > end_us)
@@ -149,11 +150,13 @@
 /// True while entries may be missing only because the store was unavailable: the backend servers
 /// register again within about two seconds after the store is available again. One settling time
 /// after that moment, a missing entry must count as gone. The time is counted from the start of the
-/// last failed call, because that call began while the store was still unavailable.
+/// last failed call, because that call began while the store was still unavailable. While calls
+/// fail that are no outage yet, the next call decides.
 static bool
 may_have_lapsed (const TtBoard *board, int64_t now_us)
 {
-  return tt_registry_lapse_ms (board, now_us) > 0;
+  return tt_registry_lapse_ms (board, now_us) > 0
+         || board->feed.streams[TT_STORE_SERVERS].failing_since_us != 0;
 }
 
 /// Marks a backend server as gone; if its entry may have lapsed, only records when the entry was
--- a/src/tarragontrack/io/http_call.c
+++ b/src/tarragontrack/io/http_call.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/io/http_client_defs.h"
 #include <ctype.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -143,6 +144,16 @@
          || (result == CURLE_OUT_OF_MEMORY && !call->headers_done);
 }
 
+/// Error number of the last failed system call on the connection.
+static long
+os_error (const TtHttpCall *call)
+{
+  long number = 0;
+
+  (void) curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &number);
+  return number;
+}
+
 static int
 map_result (TtHttpCall *call, CURLcode result, TtError *error)
 {
@@ -162,6 +173,8 @@
       code = TT_E_MALFORMED;
       detail = "the server sent bytes that are no response";
     }
+  else if (result == CURLE_RECV_ERROR && os_error (call) == ETIMEDOUT)
+    code = TT_E_TIMEOUT; // TCP gave up: the peer may be alive
   else if (result == CURLE_GOT_NOTHING || result == CURLE_RECV_ERROR || result == CURLE_SEND_ERROR
            || result == CURLE_PARTIAL_FILE || result == CURLE_ABORTED_BY_CALLBACK)
     code = TT_E_CRASHED;
--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -178,7 +178,9 @@
   event.error.step = step_of_op (call->op);
   event.platform.version = call->version;
   if (error->code != TT_OK)
-    event.platform.code = error->code == TT_E_UNAVAILABLE ? TT_E_UNAVAILABLE : TT_E_TIMEOUT;
+    event.platform.code = error->code == TT_E_UNAVAILABLE                       ? TT_E_UNAVAILABLE
+                          : error->code == TT_E_CRASHED && !is_write (call->op) ? TT_E_CRASHED
+                                                                                : TT_E_TIMEOUT;
   else
     (void) dialect->decode_response (dialect->context, &response, &event.platform, &event.error);
   complete_call (call, &event);
--- a/src/tarragontrack/platform/store.c
+++ b/src/tarragontrack/platform/store.c
@@ -18,7 +18,9 @@
   /// requests; keepalive probes detect a connection that fails during a watch.
   WATCH_WAIT_MS = 20000,
   WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 1000,
-  /// The store normally responds within milliseconds, and within a few hundred when it is slow.
+  NO_WAIT_MS = 1, ///< a watch that returns at once
+                  /// The store normally responds within milliseconds, and within a few hundred when
+                  /// it is slow.
   CALL_TIMEOUT_MS = 1500
 };
 
@@ -73,9 +75,11 @@
       curl_free (name);
       return code;
     case TT_PLATFORM_WATCH_ENTRIES:
-      request->timeout_ms = WATCH_TIMEOUT_MS;
+      if (!action->answers_at_once)
+        request->timeout_ms = WATCH_TIMEOUT_MS;
       return set_path (request, error, "/objects/%s?Watch=%llu&WaitMs=%d", kind,
-                       (unsigned long long) action->version, WATCH_WAIT_MS);
+                       (unsigned long long) action->version,
+                       action->answers_at_once ? NO_WAIT_MS : WATCH_WAIT_MS);
     case TT_PLATFORM_CREATE:
       request->method = "POST";
       code = set_path (request, error, "/objects/%s", kind);
--- a/test/control/reader_test.c
+++ b/test/control/reader_test.c
@@ -222,6 +222,67 @@
   routed_fleet_close (&fleet);
 }
 
+/// Removes an entry @removal_ms after a change of another one, with @cuts cuts of the readers'
+/// watches from @cut_ms on. RETURN ms until all daemons stop to use the backend server.
+static int64_t
+remove_beside_cuts (int64_t cut_ms, unsigned cuts, int64_t removal_ms)
+{
+  open_fleet (6, 2);
+  routed_fleet_write_server (&fleet, "p2", true, false);
+  for (int64_t ms = 0; ms <= removal_ms || cuts > 0; ms += 10)
+    {
+      if (ms == removal_ms)
+        routed_fleet_write_server (&fleet, "p1", false, true);
+      if (ms >= cut_ms && (ms - cut_ms) % 100 == 0 && cuts > 0)
+        {
+          for (unsigned i = 0; i < 6; i++)
+            routed_fleet_cut_watches (&fleet, i);
+          cuts--;
+        }
+      routed_fleet_advance (&fleet, 10);
+    }
+  return routed_fleet_settle (&fleet, "p1", TT_BACKEND_GONE, CHANGE_LIMIT_MS);
+}
+
+/// Guards against taking the cut of a waiting watch for an outage of the store, after which a
+/// missing entry may have lapsed: requests then go on to a backend server that has left (DRAIN).
+static void
+cut_watch_is_no_outage (void)
+{
+  CU_ASSERT (remove_beside_cuts (900, 1, 920) < 1000);
+  routed_fleet_close (&fleet);
+  CU_ASSERT (remove_beside_cuts (750, 1, 770) < 1000);
+  routed_fleet_close (&fleet);
+  CU_ASSERT (remove_beside_cuts (900, 2, 1050) < 1000);
+  routed_fleet_close (&fleet);
+  CU_ASSERT (remove_beside_cuts (920, 1, 900) < 1000);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against an outage that begins with the cut of a watch and is taken for a cut alone: the
+/// entries of all backend servers lapse, and no request is served until they register again.
+static void
+cut_watch_begins_outage (void)
+{
+  const TtBackendServer *backend;
+
+  open_fleet (6, 1);
+  for (unsigned i = 0; i < 6; i++)
+    fleet.daemons[i].store = STORE_CUTS;
+  routed_fleet_advance (&fleet, 2500);
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  routed_fleet_advance (&fleet, 1000);
+  for (unsigned i = 0; i < 6; i++)
+    fleet.daemons[i].store = STORE_SERVES;
+  routed_fleet_advance (&fleet, 1000);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      backend = tt_backend_find (fleet.daemons[i].routed.board, tt_hash_string ("p1"));
+      CU_ASSERT (backend != NULL && backend->roster.state == TT_BACKEND_LIVE);
+    }
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against a daemon that starts into a running fleet and serves with an old copy, or makes
 /// the reader stop.
 static void
@@ -272,6 +333,8 @@
   { "store_is_away", store_is_away },
   { "lapsed_entries_of_reader", lapsed_entries_of_reader },
   { "copies_do_not_arrive", copies_do_not_arrive },
+  { "cut_watch_is_no_outage", cut_watch_is_no_outage },
+  { "cut_watch_begins_outage", cut_watch_begins_outage },
   { "daemon_is_restarted", daemon_is_restarted },
   { "most_daemons_are_killed", most_daemons_are_killed },
 };
--- a/test/support/routed_board.c
+++ b/test/support/routed_board.c
@@ -30,6 +30,7 @@
                            .bounds.repeat_slack = 50,
                            .bounds.repeat_window_ms = 10000,
                            .bounds.settle_ms = 3000,
+                           .bounds.report_ms = 1000,
                            .bounds.leaving_ms = 2000 };
 
   (void) snprintf (config.name, sizeof config.name, "%s", name);
--- a/test/support/routed_fleet.c
+++ b/test/support/routed_fleet.c
@@ -166,7 +166,7 @@
 
   entries.is_list = call->op == TT_PLATFORM_LIST;
   fill_entries (fleet, kind, entries.is_list, entries.is_list ? 0 : call->revision, &entries);
-  if (!entries.is_list && entries.count == 0)
+  if (!entries.is_list && entries.count == 0 && !call->answers_at_once)
     return; // the watch waits
   respond (fleet, daemon, call, TT_OK, &entries);
   for (uint32_t i = 0; kind == TT_STORE_CONFIG && i < entries.count; i++)
@@ -189,14 +189,18 @@
 static void
 serve_store (RoutedFleet *fleet, RoutedFleetDaemon *daemon)
 {
+  int code = daemon->store == STORE_REJECTS ? TT_E_UNAVAILABLE : TT_E_CRASHED;
+
+  if (daemon->store == STORE_SILENT)
+    return;
   for (int kind = 0; kind < TT_STORE_KINDS; kind++)
-    if (daemon->calls[kind].op != 0 && daemon->store == STORE_REJECTS)
-      respond (fleet, daemon, &daemon->calls[kind], TT_E_UNAVAILABLE, NULL);
-    else if (daemon->calls[kind].op != 0 && daemon->store == STORE_SERVES)
+    if (daemon->calls[kind].op != 0 && daemon->store != STORE_SERVES)
+      respond (fleet, daemon, &daemon->calls[kind], code, NULL);
+    else if (daemon->calls[kind].op != 0)
       serve_read (fleet, daemon, (TtStoreKind) kind);
-  if (daemon->write.op != 0 && daemon->store == STORE_REJECTS)
+  if (daemon->write.op != 0 && daemon->store != STORE_SERVES)
     respond (fleet, daemon, &daemon->write, TT_E_UNAVAILABLE, NULL);
-  else if (daemon->write.op != 0 && daemon->store == STORE_SERVES)
+  else if (daemon->write.op != 0)
     serve_write (fleet, daemon);
 }
 
@@ -252,6 +256,16 @@
     }
 }
 
+void
+routed_fleet_cut_watches (RoutedFleet *fleet, unsigned index)
+{
+  RoutedFleetDaemon *daemon = &fleet->daemons[index];
+
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+    if (daemon->calls[kind].op == TT_PLATFORM_WATCH_ENTRIES)
+      respond (fleet, daemon, &daemon->calls[kind], TT_E_CRASHED, NULL);
+}
+
 static void
 collect_actions (RoutedFleet *fleet, RoutedFleetDaemon *daemon)
 {
@@ -272,9 +286,11 @@
           bool read = op == TT_PLATFORM_LIST || op == TT_PLATFORM_WATCH_ENTRIES;
 
           daemon->store_calls++;
-          *(read ? &daemon->calls[action->platform.kind] : &daemon->write) = (RoutedFleetCall){
-            .op = op, .call_id = action->platform.call_id, .revision = action->platform.version
-          };
+          *(read ? &daemon->calls[action->platform.kind] : &daemon->write)
+              = (RoutedFleetCall){ .op = op,
+                                   .call_id = action->platform.call_id,
+                                   .revision = action->platform.version,
+                                   .answers_at_once = action->platform.answers_at_once };
         }
       tt_board_release_action (board, action);
     }
--- a/test/support/routed_fleet.h
+++ b/test/support/routed_fleet.h
@@ -16,6 +16,7 @@
 {
   STORE_SERVES,
   STORE_REJECTS, ///< responds with an error
+  STORE_CUTS,    ///< closes connections without a response
   STORE_SILENT   ///< does not respond
 } StoreMode;
 
@@ -24,6 +25,7 @@
   TtPlatformOp op; ///< 0 = no call waits
   uint64_t call_id;
   uint64_t revision;
+  bool answers_at_once; ///< a watch that does not wait for a change
 } RoutedFleetCall;
 
 typedef struct
@@ -81,6 +83,9 @@
 
 void routed_fleet_advance (RoutedFleet *fleet, int64_t ms);
 
+/// Ends the watches of a daemon that wait, without an answer and in order.
+void routed_fleet_cut_watches (RoutedFleet *fleet, unsigned index);
+
 /// Writes a new version of the configuration to the store.
 void routed_fleet_configure (RoutedFleet *fleet);
 
