fix(feed): a watch begins only right after a response (DRAIN)

Cause: the readers sent their next watch 0.67 s after changes, while the platform was silent. It never answered that watch, whose connection stayed open; all readers learned of 30 changes 20 s later, when timers ended.

Change: a watch waits only if it begins right after a response. After a pause, a call that returns at once comes first.

watch_is_lost_in_outage failed before the change.

--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -78,6 +78,7 @@
   uint64_t call_id;         ///< id of the call in flight; 0 = none
   int64_t call_started_us;  ///< when that call was started
   int64_t next_call_us;     ///< earliest start of the next call
+  int64_t responded_us;     ///< arrival of the last response; 0 = none
   uint32_t failures;        ///< consecutive failed calls
   int64_t failing_since_us; ///< when calls began to fail; 0 = the last call succeeded
   bool cuts_only;           ///< since then, calls only failed by closed connections
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -77,7 +77,8 @@
 
 /// Queues a store call for one kind.
 static uint64_t
-call_store (TtBoard *board, TtPlatformOp op, TtStoreKind kind, const TtFeedStream *stream)
+call_store (TtBoard *board, TtPlatformOp op, TtStoreKind kind, const TtFeedStream *stream,
+            int64_t now_us)
 {
   TtAction *action = tt_board_append_action (board, TT_ACTION_PLATFORM_CALL);
 
@@ -91,8 +92,10 @@
   if (stream != NULL)
     {
       action->platform.version = stream->revision;
-      // After a failure, a watch that waits would not tell when the store serves again.
-      action->platform.answers_at_once = stream->failing_since_us != 0;
+      // A watch waits only if it begins right after a response. The store may have fallen silent
+      // since an older one: it would never respond to the watch, and its end would not show.
+      action->platform.answers_at_once
+          = stream->failing_since_us != 0 || now_us - stream->responded_us >= TT_TICK_INTERVAL_US;
       action->platform.continue_after = stream->continue_after;
     }
   return action->platform.call_id;
@@ -160,6 +163,7 @@
     stream->last_failed_call_us = stream->last_failure_us;
   stream->failures = 0;
   stream->failing_since_us = 0;
+  stream->responded_us = now_us;
 }
 
 static void
@@ -345,14 +349,14 @@
           = call_store (board,
                         stream->revision == 0 || stream->list_requested ? TT_PLATFORM_LIST
                                                                         : TT_PLATFORM_WATCH_ENTRIES,
-                        (TtStoreKind) kind, stream);
+                        (TtStoreKind) kind, stream, now_us);
       stream->call_started_us = now_us;
     }
   if (section->own_write_call_id == 0 && !section->own_entry_current && daemons->revision != 0
       && now_us >= section->own_write_next_us)
     section->own_write_call_id
         = call_store (board, section->own_entry_exists ? TT_PLATFORM_REPLACE : TT_PLATFORM_CREATE,
-                      TT_STORE_DAEMONS, NULL);
+                      TT_STORE_DAEMONS, NULL, now_us);
 }
 
 TtController
