fix(drain): requests that wait are rejected when a shutdown closes (LOST)

Another operator's report: requests that came late in the grace period were passed on and cut at its end.

Cause here: requests of a routing table may wait for a backend server that has named the time of its return. A request that came before the end of the announcement was passed on seconds later, near the time limit.

Change: once the announcement has ended, waiting requests that have not run get 503 with a Retry-After for another daemon, at once.

shutdown_refuses_waiting_requests failed before the change: no reply came, the request went on waiting.

--- a/src/tarragontrack/control/drain.c
+++ b/src/tarragontrack/control/drain.c
@@ -100,6 +100,25 @@
       }
 }
 
+/// Rejects the requests that wait for a backend server and have not run, on a board with a routing
+/// table. Passed on later, they might not end before the time limit; other daemons have more time.
+static void
+reject_waiting_requests (TtBoard *board)
+{
+  TT_LIST_FOREACH (&board->requests.stages[TT_STAGE_READY], it)
+    {
+      TtRequest *request = TT_CONTAINER_OF (it, TtRequest, stage_link);
+      TtError error = { 0 };
+
+      if (request->relayed || request->recovery.runs > 0)
+        continue;
+      (void) tt_error_set (&error, TT_E_CANCELLED, TT_STEP_ADMIT, request->spec.service,
+                           "this router shuts down; this attempt did not run");
+      (void) tt_request_finish (board, request, TT_OUTCOME_NOT_RUN, STATUS_NOT_RUN,
+                                tt_retry_after_elsewhere_ms (), &error);
+    }
+}
+
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
@@ -155,6 +174,8 @@
       section->state = TT_DRAIN_CLOSING;
       send_leave (board);
     }
+  if (section->state == TT_DRAIN_CLOSING && board->config.uses_routing_table)
+    reject_waiting_requests (board); // `dispatch` has placed those that need not wait
   if (section->state == TT_DRAIN_CLOSING)
     advance_shutdown (board, now_us);
 }
--- a/test/control/routes_test.c
+++ b/test/control/routes_test.c
@@ -206,6 +206,40 @@
   routed_board_close (&routed);
 }
 
+/// Guards against a request that came late before a shutdown closed, waits for a backend server, is
+/// passed on near the end of the grace period and cut there (LOST).
+static void
+shutdown_refuses_waiting_requests (void)
+{
+  const TtEvent drain = { .type = TT_EVENT_DRAIN };
+  TtEvent busy = { .type = TT_EVENT_ATTEMPT_DONE };
+  TtAction action = { 0 };
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  routed_board_step (&routed, 1, &drain);
+  routed_board_advance (&routed, 2500);
+  (void) routed_board_send_request (&routed, "/once/x", 0, 6000);
+  UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_DISPATCH, &action));
+  routed_board_attempt_sent (&routed, action.attempt.attempt_id);
+  busy.attempt = (TtAttemptEvent){ .attempt_id = action.attempt.attempt_id,
+                                   .status = 503,
+                                   .not_executed = true,
+                                   .unavailable_ms = 2000 };
+  routed_board_step (&routed, 1, &busy);
+  (void) routed_board_send_request (&routed, "/once/y", 0, 6000);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_REPLY), 1); // x: one attempt only
+  routed_board_advance (&routed, 700);
+  UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_REPLY, &action));
+  CU_ASSERT_EQUAL (action.reply.outcome, TT_OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (action.reply.status, 503);
+  CU_ASSERT (action.reply.retry_after_ms > 0);
+  routed_board_advance (&routed, 3000);
+  CU_ASSERT_EQUAL (routed_board_count_actions (&routed, TT_ACTION_DISPATCH), 0);
+  routed_board_close (&routed);
+}
+
 /// Guards against a request above the limit that is dropped without a response, a counter or a log
 /// line.
 static void
@@ -238,6 +272,7 @@
   { "unroutable_requests_are_refused", unroutable_requests_are_refused },
   { "shutdown_refuses_requests", shutdown_refuses_requests },
   { "shutdown_refuses_between_ticks", shutdown_refuses_between_ticks },
+  { "shutdown_refuses_waiting_requests", shutdown_refuses_waiting_requests },
   { "requests_above_limit_are_refused", requests_above_limit_are_refused },
 };
 
