fix(http): an answer that breaks off within its head is not complete (MIXED)

Cause: libcurl ends such a transfer with success, and the callback for the head never ran, so that status 0 was relayed and counted as a success.

Change: without a final head the end of the connection is a failure of the call, and bytes after a 101 are malformed.

--- a/src/tarragontrack/io/http_call.c
+++ b/src/tarragontrack/io/http_call.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  STATUS_SWITCHING_PROTOCOLS = 101,
   HEADER_NAME_MAX = 128 ///< with the final NUL; headers with longer names are skipped
 };
 
@@ -109,7 +110,7 @@
 {
   TtHttpCall *call = context;
 
-  if (call->cancelled)
+  if (call->cancelled || !call->headers_done) // without a final head, the bytes are no response
     return 0;
   if (call->pause_requested)
     {
@@ -134,13 +135,23 @@
          || tt_http_call_get_header (call, "Transfer-Encoding") != NULL;
 }
 
+static bool
+has_switched_protocols (const TtHttpCall *call)
+{
+  long status = 0;
+
+  (void) curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  return !call->headers_done && status == STATUS_SWITCHING_PROTOCOLS;
+}
+
 /// True if the server sent bytes that are no response. libcurl reports a header line above its own
 /// limit as a lack of memory.
 static bool
 is_malformed_response (const TtHttpCall *call, CURLcode result)
 {
-  return call->head_exceeded || result == CURLE_UNSUPPORTED_PROTOCOL
-         || result == CURLE_WEIRD_SERVER_REPLY || result == CURLE_BAD_CONTENT_ENCODING
+  return call->head_exceeded || has_switched_protocols (call)
+         || result == CURLE_UNSUPPORTED_PROTOCOL || result == CURLE_WEIRD_SERVER_REPLY
+         || result == CURLE_BAD_CONTENT_ENCODING
          || (result == CURLE_OUT_OF_MEMORY && !call->headers_done);
 }
 
@@ -161,7 +172,7 @@
   const char *detail = curl_easy_strerror (result);
   int code = TT_E_TIMEOUT;
 
-  if (result == CURLE_OK)
+  if (result == CURLE_OK && call->headers_done)
     {
       code = call->request.close_ends_response || has_verifiable_end (call) ? TT_OK : TT_E_CRASHED;
       detail = code == TT_OK ? "" : "the answer has no length, so its end cannot be verified";
@@ -173,6 +184,11 @@
       code = TT_E_MALFORMED;
       detail = "the server sent bytes that are no response";
     }
+  else if (result == CURLE_OK)
+    {
+      code = TT_E_CRASHED;
+      detail = "the answer broke off within its head";
+    }
   else if (result == CURLE_RECV_ERROR && os_error (call) == ETIMEDOUT)
     code = TT_E_TIMEOUT; // TCP gave up: the peer may be alive
   else if (result == CURLE_GOT_NOTHING || result == CURLE_RECV_ERROR || result == CURLE_SEND_ERROR
--- a/test/io/http_client_test.c
+++ b/test/io/http_client_test.c
@@ -23,6 +23,7 @@
   char route[32];
   TtError error;
   bool cancel_on_data;
+  bool close_ends_response;
   bool pause_on_data;
 } Fixture;
 
@@ -116,6 +117,7 @@
                             .body_size = strcmp (method, "GET") == 0 ? 0 : 2,
                             .connect_timeout_ms = 1000,
                             .total_timeout_ms = total_timeout_ms,
+                            .close_ends_response = fixture->close_ends_response,
                             .context = fixture,
                             .on_sent = on_sent,
                             .on_headers = on_headers,
@@ -407,6 +409,56 @@
     }
 }
 
+/// Bytes that the server sends before it closes the connection.
+static const char *broken_bytes;
+
+static void
+respond_broken (void *context, TestServerConnection *connection, unsigned number,
+                const char *request)
+{
+  (void) context, (void) number, (void) request;
+  test_server_send (connection, broken_bytes, strlen (broken_bytes));
+  test_server_close_connection (connection);
+}
+
+/// Guards against a response that breaks off within its head, or switches to a protocol that nobody
+/// asked for, and is reported as complete (MIXED, ORDER).
+static void
+broken_head (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    int code;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\n", TT_E_CRASHED },
+    { "HTTP/1.1 200 OK\r\nX-Route: a\r\n", TT_E_CRASHED },
+    { "HTTP/1.1 200 OK\r\nX-Route: a\r\nContent-Le", TT_E_CRASHED },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", TT_E_CRASHED },
+    { "HTTP/1.1 103 Early Hints\r\n\r\n", TT_E_CRASHED },
+    { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", TT_E_CRASHED },
+    { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", TT_E_MALFORMED },
+    { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nother bytes", TT_E_MALFORMED },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    for (unsigned close_ends = 0; close_ends < 2; close_ends++)
+      {
+        Fixture fixture;
+
+        set_up (&fixture, respond_broken);
+        fixture.close_ends_response = close_ends == 1;
+        broken_bytes = cases[i].bytes;
+        start_call (&fixture, "GET", test_server_port (fixture.peer), 2000);
+        run_loop (&fixture, 2000);
+        CU_ASSERT_EQUAL (fixture.ends, 1);
+        CU_ASSERT_EQUAL (fixture.error.code, cases[i].code);
+        CU_ASSERT_EQUAL (fixture.size, 0);
+        CU_ASSERT_EQUAL (fixture.status, 0);
+        tear_down (&fixture);
+      }
+}
+
 static const UnitTest tests[] = {
   { "complete_response", complete_response },
   { "refused_connection", refused_connection },
@@ -416,6 +468,7 @@
   { "cancelled_call", cancelled_call },
   { "paused_call", paused_call },
   { "endless_head", endless_head },
+  { "broken_head", broken_head },
 };
 
 UNIT_MAIN ("http_client", tests)
