fix(caller): a cut answer shows that it is cut, whatever its status (MIXED)

Cause: answers above the buffer limit are relayed without a length, and h2o uses chunks for status 200 only.

Change: the length that the backend server stated is passed on; without one, other statuses get chunks from caller_response. HTTP/1.0 connections are reset, which no test covers.

Three assertions of the new test failed before the change (no chunks, no last chunk).

--- a/src/tarragontrack/io/backend_client.c
+++ b/src/tarragontrack/io/backend_client.c
@@ -255,6 +255,8 @@
   head.complete = attempt->complete && !attempt->event_stream;
   if (head.complete)
     head.content_length = attempt->size;
+  else if (!attempt->event_stream)
+    head.content_length = attempt->content_length;
   tt_caller_server_start_response (client->options.callers, caller, &head);
   tt_backend_attempt_flush (attempt);
 }
--- a/src/tarragontrack/io/backend_defs.h
+++ b/src/tarragontrack/io/backend_defs.h
@@ -36,6 +36,7 @@
   bool buffer_exceeded;  ///< a non-streamed response exceeded the buffer limit and is relayed as it
                          ///< arrives
   unsigned status;
+  size_t content_length; ///< as stated in the head of the response; SIZE_MAX = not stated
   char *buffer;
   size_t size;
   size_t capacity;
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -122,6 +122,7 @@
   int code = TT_E_CANCELLED;
 
   attempt->status = status;
+  attempt->content_length = tt_http_call_content_length (call);
   if (type != NULL)
     (void) snprintf (attempt->content_type, sizeof attempt->content_type, "%s", type);
   attempt->response_info = (TtResponseInfo){ .status = status,
--- a/src/tarragontrack/io/caller_defs.h
+++ b/src/tarragontrack/io/caller_defs.h
@@ -32,11 +32,13 @@
   bool response_started;   ///< the response head was passed to h2o
   bool response_ended;     ///< no more data will be appended
   bool response_truncated; ///< the incomplete response must end with a connection or stream error
+  bool chunked;            ///< the response is framed in chunks here, not by h2o
   bool sending;            ///< h2o is sending `inflight` and has not called on_proceed()
   bool awaiting_writable;  ///< the writer is paused until on_writable
   bool final_sent;         ///< the last bytes or the error were passed to h2o
   h2o_buffer_t *unsent;    ///< response bytes not passed to h2o yet
   h2o_buffer_t *inflight;  ///< response bytes that h2o is sending
+  char chunk_head[24];     ///< size line of the chunk that h2o is sending
 };
 
 struct TtCallerServer
--- a/src/tarragontrack/io/caller_response.c
+++ b/src/tarragontrack/io/caller_response.c
@@ -5,7 +5,15 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define STATUS_INTERNAL 500
+enum
+{
+  HTTP_1_1 = 0x101, ///< h2o's number of the protocol's version
+  STATUS_OK = 200,
+  STATUS_NO_CONTENT = 204,
+  STATUS_NOT_MODIFIED = 304,
+  STATUS_INTERNAL = 500,
+  CHUNK_PARTS = 4 ///< size, data, line end, last chunk
+};
 
 static void on_proceed (h2o_generator_t *generator, h2o_req_t *req);
 
@@ -25,27 +33,54 @@
   return record->response_truncated ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
 }
 
-/// Shuts down the connection of an incomplete HTTP/1.1 response. For H2O_SEND_STATE_ERROR, h2o
+/// Shuts down the connection of an incomplete HTTP/1.x response. For H2O_SEND_STATE_ERROR, h2o
 /// would write a malformed chunk, which is not HTTP; the missing last chunk shows the caller that
-/// the response is incomplete.
+/// the response is incomplete. HTTP/1.0 has no chunks; there the connection is reset.
 static void
 shut_down_connection (const TtCallerRecord *record)
 {
+  const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
   h2o_socket_t *socket;
 
   if (record->req->version >= 0x200)
     return;
   socket = record->req->conn->callbacks->get_socket (record->req->conn);
-  if (socket != NULL)
+  if (socket == NULL)
+    return;
+  if (record->req->version < HTTP_1_1 && record->req->res.content_length == SIZE_MAX)
+    (void) setsockopt (h2o_socket_get_fd (socket), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  else
     (void) shutdown (h2o_socket_get_fd (socket), SHUT_RDWR);
 }
 
+/// Frames the bytes that are sent next as a chunk, and ends the response with the last chunk.
+/// RETURN the number of parts.
+static size_t
+frame_chunk (TtCallerRecord *record, h2o_send_state_t state, h2o_iovec_t parts[CHUNK_PARTS])
+{
+  size_t size = record->inflight->size;
+  size_t count = 0;
+
+  if (size > 0)
+    {
+      parts[count++] = h2o_iovec_init (
+          record->chunk_head,
+          (size_t) snprintf (record->chunk_head, sizeof record->chunk_head, "%zx\r\n", size));
+      parts[count++] = h2o_iovec_init (record->inflight->bytes, size);
+      parts[count++] = h2o_iovec_init (H2O_STRLIT ("\r\n"));
+    }
+  if (state == H2O_SEND_STATE_FINAL)
+    parts[count++] = h2o_iovec_init (H2O_STRLIT ("0\r\n\r\n"));
+  return count;
+}
+
 void
 tt_caller_record_flush (TtCallerRecord *record)
 {
   h2o_buffer_t *idle_buffer = record->inflight;
+  h2o_iovec_t parts[CHUNK_PARTS];
   h2o_send_state_t state;
-  h2o_iovec_t bytes;
+  size_t count = 0;
 
   if (record->req == NULL || !record->response_started || record->sending || record->final_sent
       || (record->unsent->size == 0 && !record->response_ended))
@@ -57,8 +92,11 @@
   if (state == H2O_SEND_STATE_ERROR)
     shut_down_connection (record);
   record->final_sent = state != H2O_SEND_STATE_IN_PROGRESS;
-  bytes = h2o_iovec_init (record->inflight->bytes, record->inflight->size);
-  h2o_send (record->req, &bytes, bytes.len > 0 ? 1 : 0, state);
+  if (record->chunked)
+    count = frame_chunk (record, state, parts);
+  else if (record->inflight->size > 0)
+    parts[count++] = h2o_iovec_init (record->inflight->bytes, record->inflight->size);
+  h2o_send (record->req, parts, count, state);
 }
 
 static void
@@ -87,6 +125,17 @@
   tt_http_server_add_header (target, name, value);
 }
 
+/// True if the response needs chunks of its own: it has no length, and h2o uses chunks for status
+/// 200 only. Without either, a response that breaks off would look complete.
+static bool
+needs_chunks (const h2o_req_t *req)
+{
+  return req->version == HTTP_1_1 && req->res.content_length == SIZE_MAX
+         && req->res.status != STATUS_OK && req->res.status != STATUS_NO_CONTENT
+         && req->res.status != STATUS_NOT_MODIFIED
+         && !h2o_memis (req->input.method.base, req->input.method.len, H2O_STRLIT ("HEAD"));
+}
+
 void
 tt_caller_server_start_response (TtCallerServer *server, TtCallerCall *call,
                                  const TtResponseHead *head)
@@ -104,6 +153,9 @@
   req->res.reason = "";
   req->res.content_length = head->content_length;
   dialect->write_response_headers (dialect->context, call, head, add_header, req);
+  record->chunked = needs_chunks (req);
+  if (record->chunked)
+    tt_http_server_add_header (req, "transfer-encoding", "chunked");
   record->generator.proceed = on_proceed;
   h2o_start_response (req, &record->generator);
 }
--- a/src/tarragontrack/io/http_call.c
+++ b/src/tarragontrack/io/http_call.c
@@ -348,6 +348,20 @@
              : NULL;
 }
 
+size_t
+tt_http_call_content_length (const TtHttpCall *call)
+{
+  const char *text = tt_http_call_get_header (call, "Content-Length");
+  char *end;
+  unsigned long long length;
+
+  // Chunks override a length. libcurl has checked that the value is a number that it can hold.
+  if (text == NULL || tt_http_call_get_header (call, "Transfer-Encoding") != NULL)
+    return SIZE_MAX;
+  length = strtoull (text, &end, 10);
+  return end != text ? (size_t) length : SIZE_MAX;
+}
+
 void
 tt_http_call_visit_headers (TtHttpCall *call,
                             void (*visit) (void *context, const char *name, const char *value),
--- a/src/tarragontrack/io/http_client.h
+++ b/src/tarragontrack/io/http_client.h
@@ -63,6 +63,9 @@
 /// Value of a response header; NULL if it is absent. Valid until on_end returns.
 const char *tt_http_call_get_header (const TtHttpCall *call, const char *name);
 
+/// Length of the response's body as stated in its head; SIZE_MAX if it is not.
+size_t tt_http_call_content_length (const TtHttpCall *call);
+
 /// Pauses or resumes reading the response, for backpressure.
 void tt_http_call_pause (TtHttpCall *call, bool paused);
 
--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -480,6 +480,65 @@
     }
 }
 
+static const char *long_head;     ///< status line and framing of a long answer
+static const char *long_parts[4]; ///< its bytes, before the connection is closed
+
+/// Responds with the attempt's id, and closes the connection after the last part.
+static void
+respond_in_parts (void *context, TestServerConnection *connection, unsigned number,
+                  const char *request)
+{
+  const char *token = strstr (request, "X-Attempt-Id: ");
+  char head[512];
+
+  (void) context, (void) number;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (token);
+  (void) snprintf (head, sizeof head, "HTTP/1.1 %s%.46s\r\n\r\n", long_head, token);
+  test_server_send (connection, head, strlen (head));
+  for (unsigned i = 0; long_parts[i] != NULL; i++)
+    test_server_send (connection, long_parts[i], strlen (long_parts[i]));
+  test_server_close_connection (connection);
+}
+
+/// Guards against an answer above the buffer limit that breaks off and looks complete because its
+/// status is not 200 (MIXED): it has neither a length nor chunks, and ends with its connection.
+static void
+test_cut_long_answer (void)
+{
+  static char body[2001];
+  static char chunk[2048];
+  char end[] = "0\r\n\r\n";
+
+  memset (body, 'x', sizeof body - 1);
+  (void) snprintf (chunk, sizeof chunk, "7d0\r\n%s\r\n", body);
+  long_parts[0] = body;
+  long_head = "201 Created\r\nContent-Type: text/plain\r\nContent-Length: 3000\r\n";
+  set_up (respond_in_parts);
+  send_request (non_streamed_request);
+  CU_ASSERT (response_contains ("HTTP/1.1 201"));
+  CU_ASSERT (response_contains ("Content-Length: 3000\r\n"));
+  tear_down ();
+
+  long_parts[0] = chunk;
+  long_head = "203 Other\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n";
+  set_up (respond_in_parts);
+  send_request (non_streamed_request);
+  CU_ASSERT (response_contains ("HTTP/1.1 203"));
+  CU_ASSERT (response_contains ("transfer-encoding: chunked\r\n"));
+  CU_ASSERT_FALSE (response_contains ("\r\n0\r\n\r\n"));
+  tear_down ();
+
+  long_parts[1] = end;
+  set_up (respond_in_parts);
+  send_request (non_streamed_request);
+  CU_ASSERT (response_contains ("transfer-encoding: chunked\r\n"));
+  CU_ASSERT (response_contains (body));
+  UNIT_REQUIRE (fixture.size >= 7);
+  CU_ASSERT_STRING_EQUAL (fixture.response + fixture.size - 7, "\r\n0\r\n\r\n");
+  long_parts[1] = NULL;
+  tear_down ();
+}
+
 static const UnitTest tests[] = {
   { "a streamed response is not relayed completely", test_streamed_response },
   { "a stream without [DONE] is reported as complete, or a partial event is relayed",
@@ -490,6 +549,7 @@
   { "a crash of the engine is relayed as a response", test_engine_crash },
   { "a caller receives the response to another attempt", test_response_of_other_attempt },
   { "bytes that are no event are buffered without end", test_endless_body },
+  { "a cut answer with a status other than 200 looks complete", test_cut_long_answer },
   { "an invalid or oversized request is dispatched", test_invalid_requests },
 };
 
