fix(backend): buffered answers share a limit (LOST)

Another operator's report: bytes without end in answers ran a machine out of memory, and the requests of other clients ended with it.

Change: buffers of answers share an eighth of the process's memory, which the platform's settings state, and so do bytes that slow callers have not read. Above it an answer is relayed in parts or rejected as one above its own limit is. The buffer of a relayed answer is freed when it is empty.

The new test fails with the common limit left out.

--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -99,6 +99,8 @@
     .default_value = 2048, .unit = "client accounts" },
   { "body_bytes", TT_JSON_UINT32, FIELD (max_body_bytes), .minimum = 1024, .maximum = MAX_BYTES,
     .default_value = 1048576, .unit = "bytes" },
+  { "memory_mb", TT_JSON_DOUBLE, FIELD (memory_mb), .minimum = 16, .maximum = MAX_COUNT,
+    .default_value = 512, .unit = "MB" },
   { "header_bytes", TT_JSON_UINT32, FIELD (max_header_bytes), .minimum = 1024, .maximum = MAX_BYTES,
     .default_value = 16384, .unit = "bytes" },
   { "read_timeout_ms", TT_JSON_DURATION, FIELD (read_timeout_ms), .minimum = 10,
--- a/src/tarragontrack/codec/settings_defs.h
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -60,5 +60,6 @@
   uint32_t max_accounts;
   uint32_t max_body_bytes;
   uint32_t max_header_bytes;
+  double memory_mb;         ///< memory that the process may use
   uint32_t read_timeout_ms; ///< timeout for receiving the rest of a caller's request
 } TtSettings;
--- a/src/tarragontrack/io/backend_client.c
+++ b/src/tarragontrack/io/backend_client.c
@@ -113,7 +113,7 @@
   tt_list_remove (attempt_bucket (attempt->client, attempt->id), &attempt->link);
   free (attempt->headers.entries);
   free (attempt->header_storage);
-  free (attempt->buffer);
+  tt_backend_attempt_free_buffer (attempt);
   free (attempt);
 }
 
--- a/src/tarragontrack/io/backend_client.h
+++ b/src/tarragontrack/io/backend_client.h
@@ -16,6 +16,9 @@
   const TtDialect *dialect; ///< must outlive the backend client
   /// A longer non-streamed response is relayed before it is complete.
   uint32_t max_buffered_response_bytes;
+  /// Limit on the memory of all buffered responses. Above it, a response that is not small is
+  /// relayed before it is complete.
+  size_t max_total_buffered_bytes;
   uint32_t load_poll_interval_ms; ///< interval between load requests to an engine, before jitter
   uint64_t jitter_seed;           ///< for the jitter of load requests
 } TtBackendClientOptions;
--- a/src/tarragontrack/io/backend_defs.h
+++ b/src/tarragontrack/io/backend_defs.h
@@ -11,6 +11,8 @@
   /// Size limit of a response's Content-Type, with the final NUL; a longer one is relayed
   /// truncated.
   TT_BACKEND_CONTENT_TYPE_MAX_BYTES = 96,
+  /// A response up to this size is buffered whatever the others need.
+  TT_BACKEND_SMALL_RESPONSE_BYTES = 16384,
   /// Size limit of a load report or an exported KV cache.
   TT_BACKEND_CONTROL_MAX_BYTES = 1 << 20
 };
@@ -86,6 +88,7 @@
   TtFront front;
   TtBackendClientOptions options;
   TtList buckets[TT_BACKEND_ATTEMPT_BUCKETS];
+  size_t buffered_bytes; ///< capacity of all TtBackendAttempt.buffer
   TtList control_calls;
   TtBackendLoadPoll load_polls[TT_MAX_BACKENDS];
   uint64_t jitter_state;
@@ -101,6 +104,9 @@
 /// have ended or been cancelled.
 void tt_backend_attempt_fail (TtBackendAttempt *attempt, const TtError *error);
 
+/// Frees the buffer of an attempt, which holds nothing any more.
+void tt_backend_attempt_free_buffer (TtBackendAttempt *attempt);
+
 /// Relays the first TtBackendAttempt.relayable_size bytes of the buffer if the attempt is relayed,
 /// and pauses its HTTP call if the caller is slow.
 void tt_backend_attempt_flush (TtBackendAttempt *attempt);
--- a/src/tarragontrack/io/backend_response.c
+++ b/src/tarragontrack/io/backend_response.c
@@ -154,6 +154,7 @@
 
       if (buffer == NULL)
         return false;
+      attempt->client->buffered_bytes += capacity - attempt->capacity;
       attempt->buffer = buffer;
       attempt->capacity = capacity;
     }
@@ -162,6 +163,15 @@
   return true;
 }
 
+void
+tt_backend_attempt_free_buffer (TtBackendAttempt *attempt)
+{
+  attempt->client->buffered_bytes -= attempt->capacity;
+  free (attempt->buffer);
+  attempt->buffer = NULL;
+  attempt->capacity = 0;
+}
+
 void
 tt_backend_attempt_flush (TtBackendAttempt *attempt)
 {
@@ -179,6 +189,8 @@
       && attempt->call != NULL)
     tt_http_call_pause (attempt->call, true);
   memmove (attempt->buffer, attempt->buffer + size, attempt->size);
+  if (attempt->size == 0 && !attempt->event_stream)
+    tt_backend_attempt_free_buffer (attempt);
 }
 
 /// Parses the new complete events of a streamed response and relays them.
@@ -212,6 +224,17 @@
     tt_backend_attempt_flush (attempt);
 }
 
+/// True if a non-streamed response must not be buffered any further.
+static bool
+exceeds_buffer (const TtBackendAttempt *attempt)
+{
+  const TtBackendClient *client = attempt->client;
+
+  return attempt->size > client->options.max_buffered_response_bytes
+         || (attempt->size > TT_BACKEND_SMALL_RESPONSE_BYTES
+             && client->buffered_bytes > client->options.max_total_buffered_bytes);
+}
+
 void
 tt_backend_attempt_on_data (void *context, const char *data, size_t size)
 {
@@ -221,8 +244,7 @@
     abort_attempt (attempt, TT_E_NO_MEMORY, "answer");
   else if (attempt->event_stream)
     read_events (attempt);
-  else if (attempt->buffer_exceeded
-           || attempt->size > attempt->client->options.max_buffered_response_bytes)
+  else if (attempt->buffer_exceeded || exceeds_buffer (attempt))
     relay_oversized_response (attempt);
 }
 
--- a/src/tarragontrack/io/caller_defs.h
+++ b/src/tarragontrack/io/caller_defs.h
@@ -6,7 +6,8 @@
 
 enum
 {
-  TT_CALLER_BUCKETS = 1024
+  TT_CALLER_BUCKETS = 1024,
+  TT_CALLER_SMALL_PART_BYTES = 16384 ///< unsent bytes that each response may have
 };
 
 typedef struct TtCallerRecord TtCallerRecord;
@@ -46,6 +47,7 @@
   TtFront front;
   TtCallerServerOptions options;
   TtHttpServer *http;
+  size_t unsent_bytes; ///< of all responses, those included that h2o is sending
   TtList buckets[TT_CALLER_BUCKETS];
   TtList open_records;
   /// Records to be freed by the callback of TtCallerServer.free_timer, linked by
--- a/src/tarragontrack/io/caller_response.c
+++ b/src/tarragontrack/io/caller_response.c
@@ -108,6 +108,7 @@
 
   (void) req;
   record->sending = false;
+  record->server->unsent_bytes -= record->inflight->size;
   h2o_buffer_consume (&record->inflight, record->inflight->size);
   writable = record->awaiting_writable
              && record->unsent->size < server->options.response_buffer_bytes / 2;
@@ -160,6 +161,15 @@
   h2o_start_response (req, &record->generator);
 }
 
+/// True if a response with @size unsent bytes is to be given no more for now.
+static bool
+is_full (const TtCallerServer *server, size_t size)
+{
+  return size >= server->options.response_buffer_bytes
+         || (size >= TT_CALLER_SMALL_PART_BYTES
+             && server->unsent_bytes > server->options.total_buffer_bytes);
+}
+
 bool
 tt_caller_server_write_response (TtCallerServer *server, TtCallerCall *call, const char *data,
                                  size_t size)
@@ -171,9 +181,9 @@
   h2o_buffer_reserve (&record->unsent, size);
   memcpy (record->unsent->bytes + record->unsent->size, data, size);
   record->unsent->size += size;
+  server->unsent_bytes += size;
   tt_caller_record_flush (record);
-  record->awaiting_writable
-      = record->unsent != NULL && record->unsent->size >= server->options.response_buffer_bytes;
+  record->awaiting_writable = record->unsent != NULL && is_full (server, record->unsent->size);
   return record->awaiting_writable;
 }
 
--- a/src/tarragontrack/io/caller_server.c
+++ b/src/tarragontrack/io/caller_server.c
@@ -41,6 +41,8 @@
     {
       TtCallerRecord *record = TT_CONTAINER_OF (link, TtCallerRecord, open_link);
 
+      if (record->unsent != NULL)
+        server->unsent_bytes -= record->unsent->size + record->inflight->size;
       if (record->unsent != NULL)
         h2o_buffer_dispose (&record->unsent);
       if (record->inflight != NULL)
--- a/src/tarragontrack/io/caller_server.h
+++ b/src/tarragontrack/io/caller_server.h
@@ -17,6 +17,8 @@
   const TtDialect *dialect;       ///< must outlive the caller server
   uint32_t response_buffer_bytes; ///< response bytes buffered for a slow caller; above this,
                                   ///< reading from the backend server pauses
+  /// Limit on the unsent bytes of all responses. Above it, a slow caller is given only small parts.
+  size_t total_buffer_bytes;
   void *context;
   /// Called when writes may resume: a slow caller has read enough, or its connection was closed.
   void (*on_writable) (void *context, uint64_t request_id);
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -22,6 +22,16 @@
 /// escaped text.
 #define RESPONSE_OBJECTS 4
 
+/// Part of the process's memory for responses that are buffered until they are complete, and the
+/// same part for those that slow callers have not read yet.
+#define TOTAL_BUFFER_FRACTION 0.125
+
+static size_t
+total_buffer_bytes (const TtSettings *settings)
+{
+  return (size_t) (settings->memory_mb * TOTAL_BUFFER_FRACTION * (1 << 20));
+}
+
 static void
 copy_text (char *target, size_t size, const char *text)
 {
@@ -60,6 +70,7 @@
   http->max_header_bytes = settings->max_header_bytes;
   http->read_timeout_ms = settings->read_timeout_ms;
   options->response_buffer_bytes = RELAY_BUFFER_BYTES;
+  options->total_buffer_bytes = total_buffer_bytes (settings);
 }
 
 void
@@ -81,6 +92,7 @@
   *options = (TtBackendClientOptions){ .connect_timeout_ms
                                        = routed ? ROUTED_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS,
                                        .max_buffered_response_bytes = RETRY_BUFFER_BYTES,
+                                       .max_total_buffered_bytes = total_buffer_bytes (settings),
                                        .load_poll_interval_ms = LOAD_POLL_PERIOD_MS };
 }
 
--- a/test/codec/settings_test.c
+++ b/test/codec/settings_test.c
@@ -214,7 +214,7 @@
       tables++;
       keys += count;
     }
-  CU_ASSERT (tables == 10 && keys == 45);
+  CU_ASSERT (tables == 10 && keys == 46);
 }
 
 static const UnitTest tests[] = {
--- a/test/io/backend_client_test.c
+++ b/test/io/backend_client_test.c
@@ -2,6 +2,7 @@
 #include "support/test_server.h"
 #include "support/unit.h"
 #include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/request.h"
 #include "tarragontrack/io/backend_client.h"
 #include "tarragontrack/io/chat_dialect.h"
 #include "tarragontrack/io/clock.h"
@@ -12,6 +13,8 @@
 
 #define TEST_TIMEOUT_MS 10000
 #define RESPONSE_MAX_BYTES 300000
+#define BUFFER_LIMIT 1024
+#define COMMON_BUFFER_LIMIT 1000000
 
 /// Caller server and backend client of a daemon, connected to one caller and one scripted engine.
 typedef struct
@@ -37,6 +40,9 @@
 } Fixture;
 
 static Fixture fixture;
+static uint32_t buffer_limit = BUFFER_LIMIT;
+static uint32_t common_buffer_limit = COMMON_BUFFER_LIMIT;
+static unsigned relayed_parts; ///< parts of answers that were relayed before their end
 
 static void
 execute (void *context, TtAction *action, int64_t now_us)
@@ -50,7 +56,13 @@
       tt_backend_client_dispatch (self->backends, &action->attempt);
     }
   else if (action->type == TT_ACTION_RELAY)
-    tt_backend_client_relay (self->backends, &action->attempt);
+    {
+      const TtRequest *request = tt_request_find (self->board, action->attempt.request_id);
+
+      if (request != NULL && request->outcome == TT_OUTCOME_NONE)
+        relayed_parts++;
+      tt_backend_client_relay (self->backends, &action->attempt);
+    }
   else if (action->type == TT_ACTION_CANCEL)
     tt_backend_client_cancel (self->backends, &action->attempt);
   else if (action->type == TT_ACTION_REPLY)
@@ -120,8 +132,10 @@
                                     .response_buffer_bytes = 16384,
                                     .context = &fixture,
                                     .on_writable = on_writable };
-  TtBackendClientOptions backend
-      = { .connect_timeout_ms = 1000, .max_buffered_response_bytes = 1024, .jitter_seed = 1 };
+  TtBackendClientOptions backend = { .connect_timeout_ms = 1000,
+                                     .max_buffered_response_bytes = buffer_limit,
+                                     .max_total_buffered_bytes = common_buffer_limit,
+                                     .jitter_seed = 1 };
   TtError error = { 0 };
   static TtDialect dialect;
 
@@ -129,6 +143,7 @@
   options.dialect = &dialect;
   backend.dialect = &dialect;
   memset (&fixture, 0, sizeof fixture);
+  relayed_parts = 0;
   fixture.dialect = &dialect;
   (void) uv_loop_init (&fixture.loop);
   (void) uv_timer_init (&fixture.loop, &fixture.timeout_timer);
@@ -539,6 +554,31 @@
   tear_down ();
 }
 
+/// Guards against answers whose sum uses up the daemon's memory although each of them is below the
+/// limit: above their common limit they are relayed in parts, as with many endless bodies (LOST).
+static void
+test_common_buffer_limit (void)
+{
+  static char body[30001];
+
+  memset (body, 'x', sizeof body - 1);
+  long_parts[0] = body;
+  long_head = "200 OK\r\nContent-Type: text/plain\r\nContent-Length: 30000\r\n";
+  for (unsigned limited = 0; limited < 2; limited++)
+    {
+      buffer_limit = 100000;
+      common_buffer_limit = limited == 1 ? 20000 : 1000000;
+      set_up (respond_in_parts);
+      send_request (non_streamed_request);
+      CU_ASSERT (response_contains ("HTTP/1.1 200"));
+      CU_ASSERT (response_contains (body));
+      CU_ASSERT_EQUAL (relayed_parts > 0, limited == 1);
+      tear_down ();
+    }
+  buffer_limit = BUFFER_LIMIT;
+  common_buffer_limit = COMMON_BUFFER_LIMIT;
+}
+
 static const UnitTest tests[] = {
   { "a streamed response is not relayed completely", test_streamed_response },
   { "a stream without [DONE] is reported as complete, or a partial event is relayed",
@@ -550,6 +590,7 @@
   { "a caller receives the response to another attempt", test_response_of_other_attempt },
   { "bytes that are no event are buffered without end", test_endless_body },
   { "a cut answer with a status other than 200 looks complete", test_cut_long_answer },
+  { "the sum of buffered answers has no limit", test_common_buffer_limit },
   { "an invalid or oversized request is dispatched", test_invalid_requests },
 };
 
