--- a/src/tarragontrack/board/dispatch_defs.h
+++ b/src/tarragontrack/board/dispatch_defs.h
@@ -37,6 +37,7 @@
 {
   uint64_t prefix_source_id; ///< backend server to copy the shared prompt prefix from; 0 = none
   bool second_round; ///< the backend servers on which the request failed are being tried once more
+  bool joins_suspects; ///< no other backend server is left than those that run other suspects
 } TtDispatchRequest;
 
 typedef struct
--- a/src/tarragontrack/board/poison_defs.h
+++ b/src/tarragontrack/board/poison_defs.h
@@ -18,8 +18,8 @@
 typedef struct
 {
   uint64_t fingerprint;
-  uint64_t backend_id; ///< backend server of the last crash
-  uint32_t strikes;    ///< 0 = cleared: a request with this fingerprint succeeded
+  uint64_t crash_id; ///< process of the last crash, see TtSuspect
+  uint32_t strikes;  ///< 0 = cleared: a request with this fingerprint succeeded
 } TtPeerSuspect;
 
 typedef struct
@@ -39,7 +39,7 @@
   uint32_t strikes;          ///< crashes that count towards blocking the fingerprint
   uint32_t crashed_attempts; ///< attempts that ended with a crash
   bool from_peers_only;      ///< known from other daemons only
-  uint64_t last_backend_id;  ///< backend server of the last strike
+  uint64_t last_crash_id;    ///< hash of the backend server and the process of the last strike
   int64_t last_strike_us;
   int64_t blocked_until_us; ///< 0 = not blocked
 } TtSuspect;
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -93,7 +93,7 @@
       TtPeerFieldCursor fields = tt_peer_fields_next_array (&list, MAX_RECORD_FIELDS);
 
       suspects[i].fingerprint = tt_peer_fields_next_u64 (&fields);
-      suspects[i].backend_id = tt_peer_fields_next_u64 (&fields);
+      suspects[i].crash_id = tt_peer_fields_next_u64 (&fields);
       suspects[i].strikes = tt_peer_fields_next_u32 (&fields, UINT32_MAX);
     }
   *count = list.count;
--- a/src/tarragontrack/codec/peer_encode.c
+++ b/src/tarragontrack/codec/peer_encode.c
@@ -86,7 +86,7 @@
     {
       (void) msgpack_pack_array (packer, 3);
       (void) msgpack_pack_uint64 (packer, suspects[i].fingerprint);
-      (void) msgpack_pack_uint64 (packer, suspects[i].backend_id);
+      (void) msgpack_pack_uint64 (packer, suspects[i].crash_id);
       (void) msgpack_pack_uint32 (packer, suspects[i].strikes);
     }
 }
--- a/src/tarragontrack/control/dispatch.c
+++ b/src/tarragontrack/control/dispatch.c
@@ -82,12 +82,30 @@
   return false;
 }
 
+/// True if the request and another one on the backend server are both suspected of crashing backend
+/// servers. Apart, the next crash shows which of them is sound.
+static bool
+runs_other_suspect (const TtRequest *request, const TtBackendServer *backend)
+{
+  if (!request->poison.suspect)
+    return false;
+  TT_LIST_FOREACH (&backend->attempts, it)
+    {
+      const TtRequest *other = TT_CONTAINER_OF (it, TtAttempt, backend_link)->request;
+
+      if (other != request && other->poison.suspect)
+        return true;
+    }
+  return false;
+}
+
 static bool
 is_eligible (const TtBoard *board, const TtRequest *request, const TtBackendServer *backend,
              int64_t now_us)
 {
   return tt_backend_accepts (backend, now_us) && tt_breaker_allows (board, backend, now_us)
-         && !was_tried (request, backend);
+         && !was_tried (request, backend)
+         && (request->dispatch.joins_suspects || !runs_other_suspect (request, backend));
 }
 
 /// The least loaded backend server that still responds to some requests; used if the circuit
@@ -304,6 +322,11 @@
     backend = choose_by_prompt (board, request, now_us);
   else
     backend = choose_by_load (board, request, now_us);
+  if (backend == NULL && request->poison.suspect && !request->dispatch.joins_suspects)
+    {
+      request->dispatch.joins_suspects = true;
+      return choose_backend (board, request, now_us);
+    }
   if (backend == NULL)
     backend = choose_last_resort (request, now_us);
   // If no other backend server is available, one on which the request failed gets a second try.
--- a/src/tarragontrack/control/fleet.c
+++ b/src/tarragontrack/control/fleet.c
@@ -197,7 +197,7 @@
         break;
       status->suspects[status->suspect_count++]
           = (TtPeerSuspect){ .fingerprint = suspect->fingerprint,
-                             .backend_id = suspect->last_backend_id,
+                             .crash_id = suspect->last_crash_id,
                              .strikes = suspect->strikes };
     }
   TT_LIST_FOREACH (&board->backends.all, it)
--- a/src/tarragontrack/control/gossip.c
+++ b/src/tarragontrack/control/gossip.c
@@ -190,7 +190,7 @@
         continue;
       *cursor = position;
       gossip->suspects[gossip->suspect_count++]
-          = (TtPeerSuspect){ suspect->fingerprint, suspect->last_backend_id, suspect->strikes };
+          = (TtPeerSuspect){ suspect->fingerprint, suspect->last_crash_id, suspect->strikes };
     }
   *cursor = 0;
 }
--- a/src/tarragontrack/control/poison.c
+++ b/src/tarragontrack/control/poison.c
@@ -241,14 +241,15 @@
 
 /// Adds a strike for an attempt that was running on a backend server when it crashed.
 ///
-/// A further strike counts only if the attempt ran on another engine than the last strike, was
+/// A further strike counts only if the attempt ran on another process than the last strike, was
 /// dispatched as a suspect and shared the engine with no other suspect: otherwise a request that
-/// ran twice on the same engine as the cause would be blocked as well.
+/// ran twice beside the cause would be blocked as well.
 static void
 add_strike (TtBoard *board, const TtAttempt *attempt, int64_t now_us)
 {
   uint64_t fingerprint = attempt->request->poison.fingerprint;
   const TtBackendServer *backend = attempt->backend;
+  uint64_t crash_id = tt_hash_pair (backend->id, attempt->process_start_ms);
   TtSuspect *suspect = find_suspect (board, fingerprint);
 
   if (succeeded_recently (board, fingerprint, now_us))
@@ -258,12 +259,11 @@
       suspect = new_suspect (board, fingerprint, false);
       suspect->strikes = 1;
     }
-  else if (suspect->last_backend_id != backend->id
-           && attempt->dispatched_us >= suspect->last_strike_us
+  else if (suspect->last_crash_id != crash_id && attempt->dispatched_us >= suspect->last_strike_us
            && backend->health.crash_suspects < 2)
     suspect->strikes++;
   suspect->crashed_attempts++;
-  suspect->last_backend_id = backend->id;
+  suspect->last_crash_id = crash_id;
   suspect->last_strike_us = now_us;
   tt_list_remove (suspect_list (board, suspect), &suspect->link);
   suspect->from_peers_only = false;
@@ -294,7 +294,7 @@
   if (suspect->strikes >= peer->strikes)
     return;
   suspect->strikes = peer->strikes;
-  suspect->last_backend_id = peer->backend_id;
+  suspect->last_crash_id = peer->crash_id;
   if (suspect->crashed_attempts < peer->strikes)
     suspect->crashed_attempts = peer->strikes;
   if (suspect->strikes >= strike_limit (board))
--- a/test/control/poison_test.c
+++ b/test/control/poison_test.c
@@ -2,6 +2,7 @@
 #include "support/routed_board.h"
 #include "support/test_board.h"
 #include "support/unit.h"
+#include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/hash.h"
 #include "tarragontrack/board/request.h"
 #include "tarragontrack/control/poison.h"
@@ -152,10 +153,9 @@
   TtEvent event = { .type = TT_EVENT_PEER_MESSAGE, .peer = &message };
 
   message.gossip.suspect_count = 1;
-  message.gossip.suspects[0]
-      = (TtPeerSuspect){ .fingerprint = tt_hash_pair (tt_hash_string ("large"), POISON_BODY),
-                         .backend_id = 5,
-                         .strikes = 2 };
+  message.gossip.suspects[0] = (TtPeerSuspect){
+    .fingerprint = tt_hash_pair (tt_hash_string ("large"), POISON_BODY), .crash_id = 5, .strikes = 2
+  };
   tt_board_step (board, &event, START_US);
   (void) drive_send_request (board, "large", "", POISON_BODY, START_US);
   CU_ASSERT_EQUAL (drive_next_reply (board).status, 422);
@@ -204,6 +204,85 @@
   routed_board_close (&routed);
 }
 
+/// Guards against a request that crashes the only backend server again and again, because the
+/// processes that restart under one id were taken for one, and never struck twice (BUDGET).
+static void
+block_on_restarting_backend (void)
+{
+  TtRequestSpec spec
+      = { .host = "h", .path = "/once/x", .response_timeout_ms = 6000, .body_hash = POISON_BODY };
+  TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
+  TtAction action = { 0 };
+  unsigned crashes = 0;
+  RoutedBoard routed;
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  spec.bearer_key_hash = tt_hash_id128 (0, "k", 1);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      spec.request_id = 100 + i;
+      routed_board_step (&routed, 500, &event);
+      while (routed_board_next_action (&routed, TT_ACTION_DISPATCH, &action))
+        {
+          crashes++;
+          routed_board_attempt_sent (&routed, action.attempt.attempt_id);
+          routed_board_attempt_failed (&routed, action.attempt.attempt_id, TT_E_CRASHED, true);
+        }
+      routed_board_advance (&routed, 3000);
+      routed_board_change_server (&routed, "p1", ROUTED_PLAIN_SERVICE, false, false, 2 + i);
+      routed_board_advance (&routed, 3000);
+    }
+  CU_ASSERT_EQUAL (crashes, 3);
+  routed_board_close (&routed);
+}
+
+/// Guards against a sound request that is blocked like the one beside which it ran in each crash:
+/// two suspects run on different backend servers, so that the next crash tells them apart.
+static void
+suspects_run_apart (void)
+{
+  TtRequestSpec spec
+      = { .host = "h", .path = "/once/x", .response_timeout_ms = 6000, .body_hash = POISON_BODY };
+  TtEvent event = { .type = TT_EVENT_REQUEST, .request = &spec };
+  TtAction action = { 0 };
+  uint64_t backends[2];
+  uint64_t attempts[2];
+  TtBackendServer *busy;
+  RoutedBoard routed;
+
+  routed_board_open (&routed);
+  routed_board_configure (&routed, 1, false);
+  routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 1, "p1");
+  spec.bearer_key_hash = tt_hash_id128 (0, "k", 1);
+  for (unsigned round = 0; round < 2; round++)
+    {
+      for (unsigned i = 0; i < 2; i++)
+        {
+          spec.request_id = 100 + 10 * round + i;
+          spec.body_hash = i == 0 ? POISON_BODY : HARMLESS_BODY;
+          routed_board_step (&routed, 10, &event);
+          UNIT_REQUIRE (routed_board_next_action (&routed, TT_ACTION_DISPATCH, &action));
+          backends[i] = action.attempt.backend_id;
+          attempts[i] = action.attempt.attempt_id;
+          routed_board_attempt_sent (&routed, attempts[i]);
+        }
+      CU_ASSERT_EQUAL (backends[0] == backends[1], round == 0);
+      for (unsigned i = 0; i < 2 && round == 0; i++)
+        routed_board_attempt_failed (&routed, attempts[i], TT_E_CRASHED, true);
+      routed_board_list_servers (&routed, ROUTED_PLAIN_SERVICE, 2, "p1", "p2");
+      routed_board_advance (&routed, 5000);
+      // By its load alone, p1 would get both requests of the next round.
+      busy = tt_backend_find (routed.board, tt_hash_string ("p2"));
+      UNIT_REQUIRE (busy != NULL);
+      busy->dispatch.sample = (TtLoadSample){ .known = true, .running = 3 };
+      busy->dispatch.sampled_us = routed.now_us;
+      tt_backend_find (routed.board, tt_hash_string ("p1"))->breaker.state = TT_BREAKER_CLOSED;
+    }
+  routed_board_close (&routed);
+}
+
 /// Sends one of the equal requests and crashes each of its attempts. Returns the number of
 /// attempts.
 static unsigned
@@ -295,7 +374,7 @@
   (void) snprintf (message.status.name, sizeof message.status.name, "d2");
   message.status.suspect_count = 1;
   message.status.suspects[0]
-      = (TtPeerSuspect){ .fingerprint = fingerprint, .backend_id = 1, .strikes = strikes };
+      = (TtPeerSuspect){ .fingerprint = fingerprint, .crash_id = 1, .strikes = strikes };
   routed_board_step (routed, 1, &event);
 }
 
@@ -363,6 +442,8 @@
   { "success clears a suspect", clear_on_success },
   { "suspects are received by gossip", receive_suspects_by_gossip },
   { "a poison request is blocked on a routed board", block_on_routed_board },
+  { "a poison request is blocked on a backend server that restarts", block_on_restarting_backend },
+  { "suspects share a backend server", suspects_run_apart },
   { "equal requests are not blocked while some succeed", keep_successful_requests_unblocked },
   { "a success clears the strikes of other daemons", clear_strikes_of_peers },
   { "a refusal clears no suspect", keep_suspect_after_refusal },
