fix(entry): odd characters in names end no header, log line or metric label

Found while names of any length were admitted: the id of a backend server with a line end would add a header to each attempt that carries it, and quotes or line ends in names of services and accounts would forge log lines and metric labels.

Change: an entry whose id cannot be sent in a header is invalid, as other entries that name no backend server to use; abbreviated names replace such characters, and metrics show the abbreviated name of backend servers.

--- a/src/tarragontrack/board/name.c
+++ b/src/tarragontrack/board/name.c
@@ -8,19 +8,29 @@
   SUFFIX_LENGTH = 9 ///< "~" and 8 hexadecimal digits
 };
 
+/// Replaces the characters that would end a line of the log or a label of a metric.
+static void
+replace_odd_characters (char *text)
+{
+  for (; *text != '\0'; text++)
+    if ((unsigned char) *text < ' ' || *text == 0x7f || *text == '"' || *text == '\\')
+      *text = '?';
+}
+
 void
 tt_name_abbreviate (char *target, const char *name)
 {
   size_t length = strlen (name);
 
   if (length < TT_NAME_MAX)
+    memcpy (target, name, length + 1);
+  else
     {
-      memcpy (target, name, length + 1);
-      return;
+      length = TT_NAME_MAX - 1 - SUFFIX_LENGTH;
+      while (length > 0 && ((unsigned char) name[length] & 0xc0) == 0x80)
+        length--;
+      (void) snprintf (target, TT_NAME_MAX, "%.*s~%08x", (int) length, name,
+                       (unsigned) tt_hash_string (name));
     }
-  length = TT_NAME_MAX - 1 - SUFFIX_LENGTH;
-  while (length > 0 && ((unsigned char) name[length] & 0xc0) == 0x80)
-    length--;
-  (void) snprintf (target, TT_NAME_MAX, "%.*s~%08x", (int) length, name,
-                   (unsigned) tt_hash_string (name));
+  replace_odd_characters (target);
 }
--- a/src/tarragontrack/board/name.h
+++ b/src/tarragontrack/board/name.h
@@ -9,5 +9,6 @@
 /// ARGUMENTS  target: TT_NAME_MAX bytes
 /// NOTES      a longer name is cut at a character of UTF-8 and ends with "~" and a part of its
 /// hash,
-///            so that names with the same beginning stay distinct
+///            so that names with the same beginning stay distinct; control characters, quotes and
+///            backslashes become question marks
 void tt_name_abbreviate (char *target, const char *name);
--- a/src/tarragontrack/io/operator_text.c
+++ b/src/tarragontrack/io/operator_text.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/io/operator_text.h"
 #include "tarragontrack/board/counter.h"
 #include "tarragontrack/board/histogram.h"
+#include "tarragontrack/board/name.h"
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -28,11 +29,14 @@
 static void
 write_backend_gauges (FILE *out, const TtBackendServer *backend)
 {
-  (void) fprintf (out, "tarragontrack_backend_attempts{backend=\"%s\"} %u\n", backend->name,
+  char name[TT_NAME_MAX];
+
+  tt_name_abbreviate (name, backend->name);
+  (void) fprintf (out, "tarragontrack_backend_attempts{backend=\"%s\"} %u\n", name,
                   backend->attempts.count);
-  (void) fprintf (out, "tarragontrack_backend_ejected{backend=\"%s\"} %d\n", backend->name,
+  (void) fprintf (out, "tarragontrack_backend_ejected{backend=\"%s\"} %d\n", name,
                   backend->health.ejected || backend->breaker.state != TT_BREAKER_CLOSED ? 1 : 0);
-  (void) fprintf (out, "tarragontrack_backend_lent_slots{backend=\"%s\"} %u\n", backend->name,
+  (void) fprintf (out, "tarragontrack_backend_lent_slots{backend=\"%s\"} %u\n", name,
                   backend->share.leased_slots);
 }
 
--- a/src/tarragontrack/platform/entry.c
+++ b/src/tarragontrack/platform/entry.c
@@ -74,7 +74,8 @@
     entry->valid = strcmp (entry->name, TT_WIRE_CONFIG_NAME) == 0
                    && tt_table_from_json (spec, &entry->table, &error) == TT_OK;
   else if (kind == TT_STORE_SERVERS)
-    entry->valid = parse_server (spec, &entry->server, text);
+    entry->valid = tt_field_is_header_value (metadata, "Name") // it is sent with each attempt
+                   && parse_server (spec, &entry->server, text);
   else
     entry->valid = parse_daemon (spec, &entry->daemon);
 }
--- a/src/tarragontrack/platform/fields.c
+++ b/src/tarragontrack/platform/fields.c
@@ -27,6 +27,24 @@
          && strlen (json_object_get_string (value)) == (size_t) json_object_get_string_len (value);
 }
 
+bool
+tt_field_is_header_value (json_object *object, const char *name)
+{
+  const char *text;
+  size_t length;
+
+  if (!tt_field_is_plain (object, name))
+    return false;
+  text = tt_field_string (object, name);
+  length = strlen (text);
+  if (length > 0 && (text[0] == ' ' || text[length - 1] == ' '))
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if ((unsigned char) text[i] < ' ' || text[i] == 0x7f)
+      return false;
+  return true;
+}
+
 bool
 tt_field_copy (json_object *object, const char *name, char *target, size_t size)
 {
--- a/src/tarragontrack/platform/fields.h
+++ b/src/tarragontrack/platform/fields.h
@@ -13,6 +13,9 @@
 /// True if the member is a string without NUL bytes.
 bool tt_field_is_plain (json_object *object, const char *name);
 
+/// True if the member is a string that reaches a server unchanged as the value of a header.
+bool tt_field_is_header_value (json_object *object, const char *name);
+
 /// Copies a string member. RETURN false if it is absent, empty or too long.
 bool tt_field_copy (json_object *object, const char *name, char *target, size_t size);
 
--- a/src/tarragontrack/platform/table.c
+++ b/src/tarragontrack/platform/table.c
@@ -139,20 +139,6 @@
   return total;
 }
 
-/// True if a name reaches a backend server unchanged as the value of a header.
-static bool
-is_header_value (const char *name)
-{
-  size_t length = strlen (name);
-
-  if (length > 0 && (name[0] == ' ' || name[length - 1] == ' '))
-    return false;
-  for (size_t i = 0; i < length; i++)
-    if ((unsigned char) name[i] < ' ' || name[i] == 0x7f)
-      return false;
-  return true;
-}
-
 static bool
 parse_account (json_object *object, TtRouteTable *table, uint32_t index)
 {
@@ -162,7 +148,7 @@
 
   if (!parse_name (object, "Name", &account->name, &account->id))
     return false;
-  if (!is_header_value (account->name) || !tt_field_is_plain (object, "Name"))
+  if (!tt_field_is_header_value (object, "Name"))
     {
       free (account->name);
       account->name = NULL;
--- a/test/board/name_test.c
+++ b/test/board/name_test.c
@@ -2,8 +2,8 @@
 #include "tarragontrack/board/name.h"
 #include <string.h>
 
-/// Guards against long names with the same beginning that look alike in logs and metrics, and
-/// against a name that is cut within a character.
+/// Guards against long names with the same beginning that look alike in logs and metrics, a name
+/// that is cut within a character, and one that forges a line.
 static void
 test_abbreviate (void)
 {
@@ -13,6 +13,8 @@
 
   tt_name_abbreviate (first, "");
   CU_ASSERT_STRING_EQUAL (first, "");
+  tt_name_abbreviate (first, "a\n\"b\\");
+  CU_ASSERT_STRING_EQUAL (first, "a??b?");
   memset (name, 'n', sizeof name);
   name[TT_NAME_MAX - 1] = '\0';
   tt_name_abbreviate (first, name);
--- a/test/platform/store_test.c
+++ b/test/platform/store_test.c
@@ -83,6 +83,7 @@
   char text[2048];
 
   memset (name, ' ', sizeof name);
+  name[0] = name[sizeof name - 2] = 'n';
   name[sizeof name - 1] = '\0';
   (void) snprintf (
       text, sizeof text,
@@ -97,7 +98,7 @@
   CU_ASSERT_STRING_EQUAL (event.entries->entries[0].server.service, name);
   action.continue_after = event.entries->continue_after;
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
-  CU_ASSERT_EQUAL (strlen (request.path), strlen ("/objects/servers?SinceRev=") + 900);
+  CU_ASSERT_EQUAL (strlen (request.path), strlen ("/objects/servers?SinceRev=") + 3 * 298 + 2);
   free (request.path);
   free_event (&event);
 }
@@ -263,7 +264,25 @@
     }
 }
 
+/// Guards against a backend server's id that would add a header to each attempt.
+static void
+test_id_with_line_end (void)
+{
+  TtPlatformEvent event;
+
+  CU_ASSERT_EQUAL (decode_servers (TT_PLATFORM_LIST, 200,
+                                   "{\"Entries\":[" SERVER_JSON (
+                                       "a\\r\\nX: y", VALID_SPEC) "],"
+                                                                  "\"HasMore\":false,\"AsOf\":530}",
+                                   &event),
+                   TT_OK);
+  UNIT_REQUIRE (event.entries != NULL && event.entries->count == 1);
+  CU_ASSERT_FALSE (event.entries->entries[0].valid);
+  free_event (&event);
+}
+
 static const UnitTest tests[] = {
+  { "id_with_line_end", test_id_with_line_end },
   { "request_paths", test_request_paths },
   { "long_entry_names", test_long_entry_names },
   { "list_with_malformed_entries", test_list_with_malformed_entries },
