--- a/test/platform/store_test.c
+++ b/test/platform/store_test.c
@@ -98,7 +98,8 @@
   CU_ASSERT_STRING_EQUAL (event.entries->entries[0].server.service, name);
   action.continue_after = event.entries->continue_after;
   CU_ASSERT_EQUAL (dialect.encode_request (dialect.context, &action, &request, &error), TT_OK);
-  CU_ASSERT_EQUAL (strlen (request.path), strlen ("/objects/servers?SinceRev=") + 3 * 298 + 2);
+  CU_ASSERT_EQUAL (strlen (request.path),
+                   strlen ("/objects/servers?SinceRev=") + (size_t) 3 * 298 + 2);
   free (request.path);
   free_event (&event);
 }
