--- a/src/tarragontrack/platform/store.c
+++ b/src/tarragontrack/platform/store.c
@@ -18,10 +18,9 @@
   /// requests; keepalive probes detect a connection that fails during a watch.
   WATCH_WAIT_MS = 20000,
   WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 1000,
-  NO_WAIT_MS = 1, ///< a watch that returns at once
-                  /// The store normally responds within milliseconds, and within a few hundred when
-                  /// it is slow.
-  CALL_TIMEOUT_MS = 1500
+  /// The store normally responds within milliseconds, and within a few hundred when it is slow.
+  CALL_TIMEOUT_MS = 1500,
+  NO_WAIT_MS = 1 ///< of a watch that returns at once
 };
 
 static const char *const kind_names[] = {
