test(table): the size check of the copied text can fail by itself

An escape that shrinks in the copy hid the growth by escaped slashes. With the slashes escaped both assertions fail now, before only the second.

--- a/test/platform/table_test.c
+++ b/test/platform/table_test.c
@@ -212,7 +212,7 @@
 test_text_does_not_grow (void)
 {
   static const char text[]
-      = "{\"Version\":7,\"Routes\":[" ROUTE_JSON (",\"Note\":\"\303\260/\\u00e9\"") "]}";
+      = "{\"Version\":7,\"Routes\":[" ROUTE_JSON (",\"Note\":\"\303\260/\"") "]}";
   TtRouteTable *table = parse (text);
 
   UNIT_REQUIRE (table != NULL);
