--- a/test/support/http_exchange.c
+++ b/test/support/http_exchange.c
@@ -1,4 +1,5 @@
 #include "support/http_exchange.h"
+#include "support/free_port.h"
 #include "support/unit.h"
 #include <h2o.h>
 #include <string.h>
@@ -75,11 +76,8 @@
   (void) uv_loop_init (&exchange->loop);
   (void) uv_timer_init (&exchange->loop, &exchange->timeout_timer);
   (void) uv_timer_start (&exchange->timeout_timer, stop_loop, TEST_TIMEOUT_MS, 0);
-  for (unsigned i = 0; exchange->server == NULL && i < 100; i++)
-    {
-      options.port = (uint16_t) (21000 + (uv_hrtime () / 1000 + i) % 9000);
-      exchange->server = tt_http_server_new (&exchange->loop, &options, &error);
-    }
+  options.port = (uint16_t) free_port_find ();
+  exchange->server = tt_http_server_new (&exchange->loop, &options, &error);
   UNIT_REQUIRE (exchange->server != NULL);
   (void) uv_ip4_addr ("127.0.0.1", options.port, &address);
   (void) uv_tcp_init (&exchange->loop, &exchange->caller);
--- a/test/support/routed_front.c
+++ b/test/support/routed_front.c
@@ -1,15 +1,12 @@
 #include "support/routed_front.h"
+#include "support/free_port.h"
 #include "support/unit.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/io/clock.h"
 #include "tarragontrack/platform/dialect.h"
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#define FIRST_PORT 20000
-#define PORT_COUNT 10000
 #define TICK_MS 1 ///< shorter than the daemon's: a request that goes on elsewhere waits for a tick
 #define CLOSE_TIMEOUT_MS 1000 ///< for the caller server to finish a request
 
@@ -55,40 +52,6 @@
         = (uint16_t) script_server_port (front->script);
 }
 
-static bool
-is_port_free (unsigned port)
-{
-  const int on = 1;
-  struct sockaddr_in address;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  bool is_free;
-
-  (void) uv_ip4_addr ("127.0.0.1", (int) port, &address);
-  (void) setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  is_free
-      = bind (fd, (const struct sockaddr *) &address, sizeof address) == 0 && listen (fd, 1) == 0;
-  (void) close (fd);
-  return is_free;
-}
-
-/// Finds a free port below the range of ephemeral ones.
-static unsigned
-find_free_port (void)
-{
-  static unsigned next;
-
-  if (next == 0)
-    next = (unsigned) (tt_clock_wall_us () % PORT_COUNT);
-  for (unsigned i = 0; i < PORT_COUNT; i++)
-    {
-      unsigned port = FIRST_PORT + next++ % PORT_COUNT;
-
-      if (is_port_free (port))
-        return port;
-    }
-  return 0;
-}
-
 static void
 open_servers (RoutedFront *front)
 {
@@ -111,7 +74,7 @@
 
   // The server cannot report an ephemeral port, and one that can't listen leaves handles in the
   // loop.
-  front->port = find_free_port ();
+  front->port = free_port_find ();
   options.http.port = (uint16_t) front->port;
   front->callers = tt_caller_server_new (&front->pump.front, &options, &error);
   UNIT_REQUIRE (front->callers != NULL);
