--- a/test/soak/backend.c
+++ b/test/soak/backend.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 #define MAX_HEADER 65536
-#define MAX_BODY (1 << 20)
+#define MAX_BODY (16 << 20)
 #define READ_TIMEOUT_MS 60000
 /// Duration of a plain request; long enough that crashes and resets interrupt some of them.
 #define PLAIN_RESPONSE_US 100000
@@ -418,7 +418,7 @@
 
   if (jobs.head.next == NULL)
     tt_list_init (&jobs);
-  backend->port = options.port = soak_free_port (backend->soak->loop);
+  backend->port = options.port = soak_free_port (backend->soak);
   backend->server = tt_http_server_new (backend->soak->loop, &options, &error);
   if (backend->server == NULL)
     return false;
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -229,19 +229,15 @@
 }
 
 void
-soak_caller_send (Soak *soak)
+soak_caller_send_to (Soak *soak, SoakDaemon *daemon)
 {
   // All requests of a kind have the same fingerprint (hash of client account, path and body), as if
   // many callers sent the same request. They must not get blocked because of backend server crashes
   // that they did not cause.
   static const char *const paths[SOAK_KIND_COUNT] = { "/once/1", "/get/1", "/s/1" };
-  SoakDaemon *daemon = pick_daemon (soak);
+  SoakCall *call = calloc (1, sizeof *call);
   const char *path;
-  SoakCall *call;
 
-  if (daemon == NULL)
-    return;
-  call = calloc (1, sizeof *call);
   call->soak = soak;
   call->daemon = daemon;
   (void) snprintf (call->id, sizeof call->id, "r%llu", (unsigned long long) ++soak->next_request);
@@ -267,6 +263,15 @@
   start_call (call, path, call->record->kind == SOAK_KIND_IDEMPOTENT ? "GET" : "POST");
 }
 
+void
+soak_caller_send (Soak *soak)
+{
+  SoakDaemon *daemon = pick_daemon (soak);
+
+  if (daemon != NULL)
+    soak_caller_send_to (soak, daemon);
+}
+
 void
 soak_caller_probe_route (Soak *soak)
 {
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -125,11 +125,12 @@
       "  \"operator\": { \"address\": \"127.0.0.1:%u\" },\n"
       "  \"peer\": { \"address\": \"127.0.0.1\", \"port\": %u },\n"
       "  \"platform\": { \"url\": \"http://127.0.0.1:%u\", \"configuration\": \"routes\" },\n"
-      "  \"limits\": { \"max_requests\": 1024, \"max_attempts\": 2048 },\n"
+      "  \"limits\": { %s },\n"
       "  \"bounds\": { \"repeat_slack\": %u },\n"
       "  \"drain\": { \"announce_ms\": 2500, \"limit_ms\": 7000 } }\n",
       daemon->index, daemon->caller_port, daemon->operator_port, daemon->peer_port,
-      proxy_port (daemon->store_proxy), 20 + (unsigned) tt_rng_below (&daemon->soak->rng, 20));
+      proxy_port (daemon->store_proxy), daemon->limits,
+      20 + (unsigned) tt_rng_below (&daemon->soak->rng, 20));
   return fclose (file) == 0;
 }
 
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -84,6 +84,7 @@
   uint16_t operator_port;
   uint16_t peer_port;
   Proxy *store_proxy;
+  const char *limits; ///< limits in the settings
   char settings_path[128];
   char log_path[128];
   SoakUsage early_usage; ///< samples in the second fifth of the run
@@ -152,6 +153,7 @@
   int64_t faults_end_us; ///< no fault is injected after this time
   int64_t end_us;
   bool maintenance_only; ///< planned maintenance instead of faults
+  bool verbose;          ///< print what soak_log() is given
   const char *program;   ///< path of the daemon
   char directory[64];
   SoakDaemon daemons[SOAK_DAEMONS];
@@ -188,7 +190,21 @@
 void soak_log (Soak *soak, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 
 /// Finds a free port. Another process may bind it before the caller does.
-uint16_t soak_free_port (uv_loop_t *loop);
+uint16_t soak_free_port (const Soak *soak);
+
+/// Creates the directory for settings and logs, the HTTP client and the generators. RETURN false on
+/// failure.
+bool soak_open (Soak *soak);
+
+/// Starts the store with a configuration, and the backend servers. RETURN false on failure.
+bool soak_start_systems (Soak *soak);
+
+/// Starts a daemon on free ports. RETURN false on failure.
+bool soak_start_daemon (Soak *soak, unsigned index);
+
+/// Kills the daemons that this process started, and deletes their settings and logs unless a
+/// guarantee was violated.
+void soak_clean_up (Soak *soak);
 
 int64_t soak_now_us (void);
 
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -292,7 +292,7 @@
   store->soak = soak;
   tt_list_init (&store->objects);
   tt_list_init (&store->watches);
-  store->port = options.port = soak_free_port (soak->loop);
+  store->port = options.port = soak_free_port (soak);
   store->server = tt_http_server_new (soak->loop, &options, &error);
   return store->server != NULL;
 }
--- a/test/soak/usage.c
+++ b/test/soak/usage.c
@@ -1,6 +1,8 @@
 #include "usage.h"
 #include <dirent.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 /// Shorter runs are not checked, because the daemons are still warming up in the second fifth.
@@ -26,8 +28,26 @@
   return pages * (unsigned long long) sysconf (_SC_PAGESIZE) / 1024;
 }
 
-static uint64_t
-count_descriptors (int pid)
+uint64_t
+soak_usage_peak_kb (int pid)
+{
+  char line[128];
+  unsigned long long peak = 0;
+  FILE *file;
+
+  (void) snprintf (line, sizeof line, "/proc/%d/status", pid);
+  file = fopen (line, "re");
+  if (file == NULL)
+    return 0;
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      peak = strtoull (line + 6, NULL, 10);
+  (void) fclose (file);
+  return peak;
+}
+
+uint64_t
+soak_usage_descriptors (int pid)
 {
   char path[64];
   uint64_t count = 0;
@@ -58,7 +78,7 @@
         continue;
       usage->samples++;
       usage->resident_kb += resident_kb (daemon->process.pid);
-      usage->descriptors += count_descriptors (daemon->process.pid);
+      usage->descriptors += soak_usage_descriptors (daemon->process.pid);
     }
 }
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -27,6 +27,8 @@
 sh tools/process-test.sh build
 step smoke
 sh tools/smoke.sh build "$(. tools/processes.sh; free_base)"
+step crowds
+sh tools/run-tests.sh build crowd
 step soak
 sh tools/soak.sh build 1 4
 sh tools/soak.sh build 1 2 20 --planned
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -1,13 +1,15 @@
 #!/bin/sh
-# Runs all tests of a build. A test that KNOWN-RED.txt lists in a line starting with `test NAME` may
-# fail; its result is printed. Usage: run-tests.sh BUILD
+# Runs the tests of a build, or with LABEL those of that label. A test that KNOWN-RED.txt lists in a
+# line starting with `test NAME` may fail; its result is printed. Usage: run-tests.sh BUILD [LABEL]
 set -eu
 build=$1
+label=${2:-}
 known_red=$(awk '$1 == "test" {print $2}' KNOWN-RED.txt | paste -sd '|' -)
+run () { ctest --test-dir "$build" ${label:+-L "^$label\$"} "$@" --output-on-failure -j 4; }
 if [ -n "$known_red" ]; then
   echo "known red: $known_red"
-  ctest --test-dir "$build" -R "^($known_red)\$" --output-on-failure -j 4 || true
-  ctest --test-dir "$build" -E "^($known_red)\$" --output-on-failure -j 4
+  run -R "^($known_red)\$" || true
+  run -E "^($known_red)\$"
 else
-  ctest --test-dir "$build" --output-on-failure -j 4
+  run
 fi
