--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -10,6 +10,7 @@
 #include "tarragontrack/board/drain_defs.h"
 #include "tarragontrack/board/event_defs.h"
 #include "tarragontrack/board/fleet_defs.h"
+#include "tarragontrack/board/intake_defs.h"
 #include "tarragontrack/board/lease_defs.h"
 #include "tarragontrack/board/notice_defs.h"
 #include "tarragontrack/board/order_section_defs.h"
@@ -56,7 +57,12 @@
   uint32_t max_requests; ///< open requests; further ones get the outcome "not run"
   uint32_t max_attempts;
   uint32_t max_accounts;
-  bool uses_routing_table; ///< requests are placed by a routing table, not by team documents
+  size_t memory_bytes;         ///< that the process may use
+  uint32_t descriptors;        ///< that the process may have open
+  uint32_t request_timeout_ms; ///< for the arrival of a whole request
+  uint32_t send_timeout_ms;    ///< without progress in the sending of a response
+  bool uses_tls;               ///< on the port of callers
+  bool uses_routing_table;     ///< requests are placed by a routing table, not by team documents
   TtBounds bounds;
 } TtBoardConfig;
 
@@ -102,6 +108,7 @@
   TtRetrySection retry;
   TtOrderSection order;
   TtDrainSection drain;
+  TtIntakeSection intake;
   TtFeedSection feed;
   TtRouteSection routes;
   TtNoticeSection notice;
--- a/src/tarragontrack/board/counter_defs.h
+++ b/src/tarragontrack/board/counter_defs.h
@@ -11,6 +11,10 @@
   X (RECORDED, "tarragontrack_requests_recorded_total",                                            \
      "requests answered with a recorded outcome")                                                  \
   X (INVALID, "tarragontrack_requests_invalid_total", "requests refused as wrong")                 \
+  X (CALLERS_REFUSED, "tarragontrack_callers_refused_total",                                       \
+     "requests refused before they were read whole")                                               \
+  X (CALLERS_CLOSED, "tarragontrack_callers_closed_total",                                         \
+     "connections of callers closed without an answer to make room or after a time limit")         \
   X (SHED, "tarragontrack_requests_shed_total", "requests shed by admission")                      \
   X (ATTEMPTS, "tarragontrack_attempts_total", "attempts dispatched")                              \
   X (RETRIES, "tarragontrack_attempts_retry_total", "attempts after a failed one")                 \
--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -41,6 +41,7 @@
   X (PART_QUARANTINED, 3009, ERROR)                                                                \
   X (PART_CLEARED, 3010, INFO)                                                                     \
   X (PART_TRIED, 3011, INFO)                                                                       \
+  X (CALLER_ENDED, 3012, WARN)                                                                     \
   X (REQUEST_ENDED, 3101, INFO)                                                                    \
   X (REQUEST_PLACED, 3102, INFO)                                                                   \
   X (ATTEMPT_ENDED, 3103, INFO)                                                                    \
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -10,6 +10,7 @@
 #define FIELD(member) offsetof (TtSettings, member), sizeof (((TtSettings *) 0)->member)
 #define COUNT(table) (sizeof (table) / sizeof (table)[0])
 #define MAX_COUNT 1e6
+#define MIN_DESCRIPTORS 512
 #define MAX_BYTES 1e8
 #define MAX_TIMEOUT_MS 3.6e6
 
@@ -101,10 +102,16 @@
     .default_value = 1048576, .unit = "bytes" },
   { "memory_mb", TT_JSON_DOUBLE, FIELD (memory_mb), .minimum = 16, .maximum = MAX_COUNT,
     .default_value = 512, .unit = "MB" },
+  { "descriptors", TT_JSON_UINT32, FIELD (descriptors), .maximum = MAX_COUNT,
+    .unit = "descriptors" },
   { "header_bytes", TT_JSON_UINT32, FIELD (max_header_bytes), .minimum = 1024, .maximum = MAX_BYTES,
     .default_value = 16384, .unit = "bytes" },
   { "read_timeout_ms", TT_JSON_DURATION, FIELD (read_timeout_ms), .minimum = 10,
     .maximum = MAX_TIMEOUT_MS, .default_value = 10000, .unit = "ms" },
+  { "request_timeout_ms", TT_JSON_DURATION, FIELD (request_timeout_ms), .minimum = 10,
+    .maximum = MAX_TIMEOUT_MS, .default_value = 300000, .unit = "ms" },
+  { "send_timeout_ms", TT_JSON_DURATION, FIELD (send_timeout_ms), .minimum = 10,
+    .maximum = MAX_TIMEOUT_MS, .default_value = 60000, .unit = "ms" },
 };
 
 static const TtJsonField drain_fields[] = {
@@ -283,6 +290,8 @@
     return reject (error, "platform.url", "http://IP:PORT without a path");
   if ((settings->certificate_file[0] == '\0') != (settings->key_file[0] == '\0'))
     return reject (error, "caller", "certificate_file and key_file, or none of them");
+  if (settings->descriptors > 0 && settings->descriptors < MIN_DESCRIPTORS)
+    return reject (error, "limits.descriptors", "0, or 512 at least");
   return TT_OK;
 }
 
--- a/src/tarragontrack/codec/settings_defs.h
+++ b/src/tarragontrack/codec/settings_defs.h
@@ -60,6 +60,9 @@
   uint32_t max_accounts;
   uint32_t max_body_bytes;
   uint32_t max_header_bytes;
-  double memory_mb;         ///< memory that the process may use
-  uint32_t read_timeout_ms; ///< timeout for receiving the rest of a caller's request
+  double memory_mb;            ///< memory that the process may use
+  uint32_t descriptors;        ///< that the process may have open; 0 = the limit of the system
+  uint32_t read_timeout_ms;    ///< without a byte of a caller's request
+  uint32_t request_timeout_ms; ///< for the arrival of a whole request
+  uint32_t send_timeout_ms;    ///< without progress in the sending of a response
 } TtSettings;
--- a/src/tarragontrack/control/controllers.c
+++ b/src/tarragontrack/control/controllers.c
@@ -25,7 +25,7 @@
     tt_roster_controller,   tt_member_controller, tt_config_controller, tt_lease_controller,
     tt_acceptor_controller, tt_health_controller, tt_length_controller, tt_poison_controller,
     tt_admit_controller,    tt_claim_controller,  tt_share_controller,  tt_place_controller,
-    tt_retry_controller,    tt_order_controller,  tt_drain_controller,
+    tt_retry_controller,    tt_order_controller,  tt_drain_controller,  tt_intake_controller,
   };
 
   return add_controllers (board, factories, sizeof factories / sizeof factories[0]);
@@ -42,6 +42,7 @@
     tt_feed_controller,       tt_notice_controller,   tt_registry_controller, tt_routes_controller,
     tt_fleet_controller,      tt_reader_controller,   tt_breaker_controller,  tt_poison_controller,
     tt_quarantine_controller, tt_dispatch_controller, tt_recovery_controller, tt_drain_controller,
+    tt_intake_controller,
   };
 
   return add_controllers (board, factories, sizeof factories / sizeof factories[0]);
--- a/src/tarragontrack/control/controllers.h
+++ b/src/tarragontrack/control/controllers.h
@@ -33,6 +33,7 @@
 TtController tt_retry_controller (void);
 TtController tt_order_controller (void);
 TtController tt_drain_controller (void);
+TtController tt_intake_controller (void);
 TtController tt_feed_controller (void);
 TtController tt_routes_controller (void);
 TtController tt_notice_controller (void);
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -1,6 +1,7 @@
 #include "tarragontrack/io/router_options.h"
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 /// Caller connections allowed per concurrent request. More than one because of idle connections and
 /// HTTP/1.1 connection pools.
@@ -38,6 +39,19 @@
   (void) snprintf (target, size, "%s", text);
 }
 
+/// Number of descriptors that the process may have open.
+static uint32_t
+descriptors (const TtSettings *settings)
+{
+  struct rlimit limit;
+
+  if (settings->descriptors > 0)
+    return settings->descriptors;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > INT32_MAX)
+    return INT32_MAX;
+  return (uint32_t) limit.rlim_cur;
+}
+
 void
 tt_router_board_config (const TtSettings *settings, TtBoardConfig *config)
 {
@@ -51,6 +65,11 @@
   config->max_requests = settings->max_requests;
   config->max_attempts = settings->max_attempts;
   config->max_accounts = settings->max_accounts;
+  config->memory_bytes = (size_t) (settings->memory_mb * (1 << 20));
+  config->descriptors = descriptors (settings);
+  config->request_timeout_ms = settings->request_timeout_ms;
+  config->send_timeout_ms = settings->send_timeout_ms;
+  config->uses_tls = settings->certificate_file[0] != '\0';
   config->uses_routing_table = settings->configuration == TT_CONFIGURATION_ROUTES;
   config->bounds = settings->bounds;
 }
--- a/test/codec/settings_test.c
+++ b/test/codec/settings_test.c
@@ -218,7 +218,7 @@
       tables++;
       keys += count;
     }
-  CU_ASSERT (tables == 10 && keys == 46);
+  CU_ASSERT (tables == 10 && keys == 49);
 }
 
 static const UnitTest tests[] = {
