--- a/src/tarragontrack/io/caller_defs.h
+++ b/src/tarragontrack/io/caller_defs.h
@@ -28,6 +28,7 @@
   h2o_req_t *req; ///< NULL after the connection or stream was closed
   h2o_generator_t generator;
   char *storage;           ///< memory of the headers, strings and body of `call`
+  size_t charged_bytes;    ///< for the storage, and for the copy that an attempt sends
   bool close_reported;     ///< TT_EVENT_CALLER_CLOSED was posted
   bool finished_by_board;  ///< the board has finished the request
   bool response_started;   ///< the response head was passed to h2o
--- a/src/tarragontrack/io/caller_server.c
+++ b/src/tarragontrack/io/caller_server.c
@@ -1,7 +1,9 @@
 #include "tarragontrack/io/caller_server.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error.h"
+#include "tarragontrack/control/intake.h"
 #include "tarragontrack/io/caller_defs.h"
+#include "tarragontrack/io/clock.h"
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -47,6 +49,7 @@
         h2o_buffer_dispose (&record->unsent);
       if (record->inflight != NULL)
         h2o_buffer_dispose (&record->inflight);
+      tt_intake_release (server->front.board, record->charged_bytes);
       free (record->storage);
       free (record);
     }
@@ -126,14 +129,17 @@
 /// Copies the headers, strings and body of a request. RETURN false if memory could not be
 /// allocated.
 static bool
-copy_request (TtCallerCall *call, const h2o_req_t *req, char **storage)
+copy_request (TtCallerRecord *record, const h2o_req_t *req)
 {
+  TtCallerCall *call = &record->call;
   size_t headers_size = req->headers.size * sizeof (TtHeader);
-  char *at = malloc (headers_size + request_text_size (req));
+  size_t size = headers_size + request_text_size (req);
+  char *at = malloc (size);
 
-  *storage = at;
   if (at == NULL)
     return false;
+  record->storage = at;
+  record->charged_bytes = size + req->entity.len;
   call->headers = (TtHeaders){ .entries = (TtHeader *) at, .count = req->headers.size };
   at += headers_size;
   for (size_t i = 0; i < req->headers.size; i++)
@@ -160,11 +166,14 @@
 
   if (record == NULL)
     return NULL;
-  if (!copy_request (&record->call, req, &record->storage))
+  if (!copy_request (record, req))
     {
       free (record);
       return NULL;
     }
+  if (req->entity.len > 0)
+    tt_http_server_release_body (req);
+  tt_intake_hold (server->front.board, record->charged_bytes, tt_clock_now_us ());
   record->server = server;
   record->req = req;
   dispose_hook = h2o_mem_alloc_shared (&req->pool, sizeof *dispose_hook, on_dispose);
@@ -245,6 +254,17 @@
     }
 }
 
+/// Formats a refusal as the dialect does (TtHttpServerOptions.format_refusal).
+static size_t
+format_refusal (void *context, const TtReplyAction *reply, TtAddHeader add, void *target,
+                char *body, size_t size)
+{
+  const TtDialect *dialect = ((const TtCallerServer *) context)->options.dialect;
+  const TtCallerCall call = { .id = 0 };
+
+  return dialect->write_local_reply (dialect->context, &call, reply, add, target, body, size);
+}
+
 TtCallerServer *
 tt_caller_server_new (const TtFront *front, const TtCallerServerOptions *options, TtError *error)
 {
@@ -259,6 +279,8 @@
   server->options = *options;
   server->options.http.context = server;
   server->options.http.on_request = on_request;
+  server->options.http.format_refusal = format_refusal;
+  server->options.http.board = front->board;
   tt_list_init (&server->open_records);
   tt_list_init (&server->released_records);
   for (int i = 0; i < TT_CALLER_BUCKETS; i++)
@@ -291,6 +313,12 @@
   tt_http_server_set_limits (server->http, max_header_bytes, max_body_bytes, read_timeout_ms);
 }
 
+void
+tt_caller_server_check (TtCallerServer *server, int64_t now_us)
+{
+  tt_http_server_check (server->http, now_us);
+}
+
 void
 tt_caller_server_drain (TtCallerServer *server)
 {
--- a/src/tarragontrack/io/caller_server.h
+++ b/src/tarragontrack/io/caller_server.h
@@ -13,7 +13,7 @@
 
 typedef struct
 {
-  TtHttpServerOptions http;       ///< on_request and context are set by the server
+  TtHttpServerOptions http;       ///< the server sets the board, the context and the callbacks
   const TtDialect *dialect;       ///< must outlive the caller server
   uint32_t response_buffer_bytes; ///< response bytes buffered for a slow caller; above this,
                                   ///< reading from the backend server pauses
@@ -37,6 +37,9 @@
 void tt_caller_server_set_limits (TtCallerServer *server, uint32_t max_header_bytes,
                                   uint32_t max_body_bytes, uint32_t read_timeout_ms);
 
+/// Ends connections as tt_http_server_check() does. The daemon calls it on each tick.
+void tt_caller_server_check (TtCallerServer *server, int64_t now_us);
+
 /// Drains connections so that callers reconnect to other daemons; see tt_http_server_drain().
 void tt_caller_server_drain (TtCallerServer *server);
 
--- a/src/tarragontrack/io/http_server.c
+++ b/src/tarragontrack/io/http_server.c
@@ -1,8 +1,7 @@
-#include "tarragontrack/io/http_server.h"
 #include "tarragontrack/board/error.h"
-#include "tarragontrack/board/list.h"
 #include "tarragontrack/codec/chat.h"
-#include <h2o.h>
+#include "tarragontrack/control/intake.h"
+#include "tarragontrack/io/http_server_defs.h"
 #include <h2o/http1.h>
 #include <h2o/http2.h>
 #include <stdio.h>
@@ -15,40 +14,47 @@
 #define KEEPALIVE_S 60
 #define CLOSE_LOOP_ITERATIONS 8 ///< loop iterations in which libuv closes handles
 
-struct TtHttpServer
-{
-  TtHttpServerOptions options;
-  h2o_globalconf_t config;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept;
-  uv_tcp_t listener;
-  TtList connections; ///< Connection.link
-  bool draining;      ///< each HTTP/1.1 response closes its connection
-  bool closing;       ///< tt_http_server_shut_down() was called
-};
-
 typedef struct
 {
   h2o_handler_t handler;
   TtHttpServer *server;
 } Handler;
 
-typedef struct
+size_t
+tt_http_server_format_refusal (void *context, const TtReplyAction *reply, TtAddHeader add,
+                               void *target, char *body, size_t size)
 {
-  uv_tcp_t tcp; ///< must be first: the close callback casts the handle
-  TtHttpServer *server;
-  TtLink link; ///< in TtHttpServer.connections
-} Connection;
+  char text[16];
+
+  (void) context;
+  if (reply->retry_after_ms > 0)
+    {
+      (void) snprintf (text, sizeof text, "%u", (reply->retry_after_ms + 999) / 1000);
+      add (target, "retry-after", text);
+    }
+  add (target, "content-type", "application/json");
+  add (target, "x-outcome", tt_chat_outcome_name (reply->outcome));
+  return tt_chat_format_error (body, size, reply->status, "", reply->outcome, reply->error.detail);
+}
+
+/// Adds a header to the response (a TtAddHeader callback).
+static void
+add_header (void *target, const char *name, const char *value)
+{
+  tt_http_server_add_header (target, name, value);
+}
 
 /// Rejects a request with an error response, without calling on_request.
 static int
 reject_request (h2o_req_t *req, unsigned status, const char *message)
 {
+  TtReplyAction reply = { .outcome = TT_OUTCOME_NOT_RUN, .status = status };
   char body[TT_ERROR_JSON_MAX];
-  size_t size = tt_chat_format_error (body, sizeof body, status, "", TT_OUTCOME_NOT_RUN, message);
+  size_t size;
 
-  tt_http_server_add_header (req, "x-outcome", "not-run");
-  tt_http_server_send_response (req, status, "application/json", body, size);
+  (void) tt_error_set (&reply.error, TT_E_LIMIT, TT_STEP_CALLER_READ, "caller", "%s", message);
+  size = tt_http_server_format_refusal (NULL, &reply, add_header, req, body, sizeof body);
+  tt_http_server_send_response (req, status, NULL, body, size);
   return 0;
 }
 
@@ -92,8 +98,11 @@
 on_req (h2o_handler_t *handler, h2o_req_t *req)
 {
   TtHttpServer *server = ((Handler *) handler)->server;
+  TtHttpConnection *connection = tt_http_intake_find (req);
   size_t size = req->path.len;
 
+  if (connection != NULL)
+    tt_http_intake_accept (connection, req);
   for (size_t i = 0; i < req->headers.size; i++)
     size += req->headers.entries[i].name->len + req->headers.entries[i].value.len;
   if (has_ambiguous_length (req))
@@ -114,7 +123,7 @@
 static void
 on_connection_closed (uv_handle_t *handle)
 {
-  Connection *connection = (Connection *) handle;
+  TtHttpConnection *connection = (TtHttpConnection *) handle;
 
   tt_list_remove (&connection->server->connections, &connection->link);
   free (connection);
@@ -124,7 +133,7 @@
 on_connection (uv_stream_t *listener, int status)
 {
   TtHttpServer *server = listener->data;
-  Connection *connection;
+  TtHttpConnection *connection;
   h2o_socket_t *socket;
 
   if (status != 0)
@@ -136,7 +145,8 @@
   tt_list_append (&server->connections, &connection->link);
   (void) uv_tcp_init (listener->loop, &connection->tcp);
   if (uv_accept (listener, (uv_stream_t *) &connection->tcp) != 0
-      || server->connections.count > server->options.max_connections)
+      || (server->options.board == NULL
+          && server->connections.count > server->options.max_connections))
     {
       uv_close ((uv_handle_t *) &connection->tcp, on_connection_closed);
       return;
@@ -146,7 +156,7 @@
   // closes it.
   (void) uv_tcp_keepalive (&connection->tcp, 1, KEEPALIVE_S);
   socket = h2o_uv_socket_create ((uv_stream_t *) &connection->tcp, on_connection_closed);
-  h2o_accept (&server->accept, socket);
+  tt_http_intake_open (connection, socket);
 }
 
 /// Loads certificate and key into a new TLS context.
@@ -175,6 +185,18 @@
   return context;
 }
 
+/// Sets the limit on bodies, to no more than the account can hold.
+static void
+set_max_body_bytes (TtHttpServer *server, uint32_t max_body_bytes)
+{
+  const TtBoard *board = server->options.board;
+
+  if (board != NULL && max_body_bytes > tt_intake_max_body_bytes (board))
+    max_body_bytes = (uint32_t) tt_intake_max_body_bytes (board);
+  server->options.max_body_bytes = max_body_bytes;
+  server->config.max_request_entity_size = max_body_bytes;
+}
+
 /// Creates h2o's configuration with one handler for all paths.
 static void
 configure_h2o (TtHttpServer *server)
@@ -186,7 +208,8 @@
 
   h2o_config_init (&server->config);
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("tarragontrack"));
-  server->config.max_request_entity_size = options->max_body_bytes;
+  set_max_body_bytes (server, options->max_body_bytes);
+  h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX; // files would take the same memory
   server->config.http1.req_timeout = options->read_timeout_ms;
   server->config.http2.idle_timeout = options->read_timeout_ms;
   host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
@@ -202,6 +225,7 @@
 {
   const TtHttpServerOptions *options = &server->options;
   struct sockaddr_storage address;
+  int receive_buffer = TT_HTTP_RECEIVE_BUFFER_BYTES;
   int code = uv_ip4_addr (options->address, options->port, (struct sockaddr_in *) &address);
 
   if (code != 0)
@@ -210,6 +234,9 @@
   server->listener.data = server;
   if (code == 0)
     code = uv_tcp_bind (&server->listener, (const struct sockaddr *) &address, 0);
+  // Connections inherit it. The kernel would otherwise receive megabytes that are not read.
+  if (code == 0 && options->board != NULL)
+    (void) uv_recv_buffer_size ((uv_handle_t *) &server->listener, &receive_buffer);
   if (code == 0)
     code = uv_listen ((uv_stream_t *) &server->listener, BACKLOG, on_connection);
   if (code == 0)
@@ -231,6 +258,9 @@
     }
   server->options = *options;
   tt_list_init (&server->connections);
+  tt_list_init (&server->touched);
+  if (options->board != NULL)
+    tt_intake_open_port (options->board, &server->port, options->max_connections);
   if (options->certificate_file != NULL)
     {
       server->accept.ssl_ctx = load_certificate (options, error);
@@ -244,6 +274,10 @@
   h2o_context_init (&server->context, loop, &server->config);
   server->accept.ctx = &server->context;
   server->accept.hosts = server->config.hosts;
+  (void) uv_prepare_init (loop, &server->prepare);
+  server->prepare.data = server;
+  (void) uv_prepare_start (&server->prepare, tt_http_intake_settle);
+  uv_unref ((uv_handle_t *) &server->prepare);
   // On failure the server is not freed, because h2o's timers stay on the loop; the calling code
   // then exits the process.
   return listen_on (server, loop, error) == TT_OK ? server : NULL;
@@ -282,10 +316,7 @@
   if (max_header_bytes > 0)
     server->options.max_header_bytes = max_header_bytes;
   if (max_body_bytes > 0)
-    {
-      server->options.max_body_bytes = max_body_bytes;
-      server->config.max_request_entity_size = max_body_bytes;
-    }
+    set_max_body_bytes (server, max_body_bytes);
   if (read_timeout_ms > 0)
     server->context.http1.req_timeout.timeout = read_timeout_ms;
 }
@@ -317,7 +348,7 @@
 {
   TT_LIST_FOREACH (&server->connections, it)
     {
-      const Connection *connection = TT_CONTAINER_OF (it, Connection, link);
+      const TtHttpConnection *connection = TT_CONTAINER_OF (it, TtHttpConnection, link);
       int fd;
 
       if (uv_fileno ((const uv_handle_t *) &connection->tcp, &fd) == 0)
@@ -342,6 +373,7 @@
   h2o_timeout_unlink (&server->context.http2._graceful_shutdown_timeout);
   h2o_context_dispose (&server->context);
   h2o_config_dispose (&server->config);
+  uv_close ((uv_handle_t *) &server->prepare, NULL);
   run_close_iterations (server);
   if (server->accept.ssl_ctx != NULL)
     SSL_CTX_free (server->accept.ssl_ctx);
--- a/src/tarragontrack/io/http_server.h
+++ b/src/tarragontrack/io/http_server.h
@@ -1,7 +1,9 @@
 /// HTTP/1.1 and HTTP/2 server (h2o) on one port, for callers and for operators.
 #pragma once
 
+#include "tarragontrack/board/board_defs.h"
 #include "tarragontrack/board/error_defs.h"
+#include "tarragontrack/io/dialect_defs.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -10,18 +12,30 @@
 typedef struct TtHttpServer TtHttpServer;
 struct st_h2o_req_t;
 
+enum
+{
+  TT_HTTP_RECEIVE_BUFFER_BYTES = 65536 ///< of the kernel, for each connection
+};
+
 typedef struct
 {
   const char *address; ///< IP address
   uint16_t port;
   const char *certificate_file; ///< PEM; NULL = cleartext
   const char *key_file;
-  uint32_t max_connections; ///< further connections are closed immediately
+  uint32_t max_connections; ///< above it, a connection that waits for its caller is closed
   uint32_t max_body_bytes;
   uint32_t max_header_bytes; ///< total size of the path, header names and header values
   uint32_t read_timeout_ms;  ///< for the head and for the body of a request; idle timeout of
                              ///< HTTP/2 connections
+  /// Keeps the account of what connections hold (control/intake.h); NULL = none, and connections
+  /// above max_connections are closed immediately.
+  TtBoard *board;
   void *context;
+  /// Writes headers and body of the response to a request that is refused before it is read whole;
+  /// NULL = tt_http_server_format_refusal(). RETURN the size of the body.
+  size_t (*format_refusal) (void *context, const TtReplyAction *reply, TtAddHeader add,
+                            void *target, char *body, size_t size);
   /// Handles a request; the response may be sent later.
   void (*on_request) (void *context, struct st_h2o_req_t *request);
 } TtHttpServerOptions;
@@ -48,6 +62,18 @@
 /// callers reconnect.
 void tt_http_server_drain (TtHttpServer *server);
 
+/// Carries out the account's verdicts on connections, and reports to it which responses are not
+/// read. The daemon calls it on each tick.
+void tt_http_server_check (TtHttpServer *server, int64_t now_us);
+
+/// Gives back the memory of a request's body, which the calling code has copied. The body in
+/// @request is undefined afterwards.
+void tt_http_server_release_body (struct st_h2o_req_t *request);
+
+/// The default of TtHttpServerOptions.format_refusal.
+size_t tt_http_server_format_refusal (void *context, const TtReplyAction *reply, TtAddHeader add,
+                                      void *target, char *body, size_t size);
+
 /// Number of open connections.
 uint32_t tt_http_server_count_connections (const TtHttpServer *server);
 
--- a/src/tarragontrack/io/operator_server.c
+++ b/src/tarragontrack/io/operator_server.c
@@ -103,6 +103,7 @@
       return NULL;
     }
   server->front = *front;
+  http.board = front->board;
   http.context = server;
   http.on_request = on_request;
   server->http = tt_http_server_new (front->loop, &http, error);
@@ -114,6 +115,12 @@
   return server;
 }
 
+void
+tt_operator_server_check (TtOperatorServer *server, int64_t now_us)
+{
+  tt_http_server_check (server->http, now_us);
+}
+
 /// Copies the name of a backend server; empty if it is unknown.
 static void
 copy_backend_name (TtBoard *board, uint64_t id, char *name)
--- a/src/tarragontrack/io/operator_server.h
+++ b/src/tarragontrack/io/operator_server.h
@@ -7,6 +7,9 @@
 
 typedef struct TtOperatorServer TtOperatorServer;
 
+/// Ends connections of operators as tt_http_server_check() does.
+void tt_operator_server_check (TtOperatorServer *server, int64_t now_us);
+
 /// tt_operator_server_new - creates the server and starts to listen
 ///
 /// RETURN     the server, or NULL with @error set
--- a/src/tarragontrack/io/router.c
+++ b/src/tarragontrack/io/router.c
@@ -214,6 +214,10 @@
     tt_backend_client_poll_load (router->backend_client, now_us);
   update_peer_counters (router);
   apply_limits (router);
+  tt_caller_server_check (router->caller_server, now_us);
+  tt_operator_server_check (router->operator_server, now_us);
+  if (router->metrics_server != NULL)
+    tt_operator_server_check (router->metrics_server, now_us);
   tt_reload_check (&router->reload, now_us);
   tt_log_flush ();
   if (router->board->drain.state >= TT_DRAIN_ANNOUNCED)
--- a/src/tarragontrackd/main.c
+++ b/src/tarragontrackd/main.c
@@ -5,9 +5,12 @@
 #include "tarragontrack/io/log.h"
 #include "tarragontrack/io/router.h"
 #include <glib.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#define LARGE_BLOCK_BYTES (128 << 10)
+
 #ifndef TT_VERSION
 #define TT_VERSION "unknown"
 #endif
@@ -64,6 +67,8 @@
   TtRouter *router;
   char text[TT_LOG_TEXT_MAX];
 
+  // Frees large blocks to the kernel at once: the account of callers' bytes is that of the process.
+  (void) mallopt (M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
   if (tt_log_open (TT_LEVEL_INFO) < 0)
     {
       (void) fprintf (stderr, "tarragontrackd: the log cannot be opened\n");
--- a/test/soak/crowd.c
+++ b/test/soak/crowd.c
@@ -105,7 +105,8 @@
       size_t length = (size_t) snprintf (at, frame_size, "%zx\r\n", chunk_size);
 
       memset (at + length, 'x', chunk_size);
-      memcpy (at + length + chunk_size, "\r\n", 2);
+      at[length + chunk_size] = '\r';
+      at[length + chunk_size + 1] = '\n';
       script->piece_size += length + chunk_size + 2;
     }
   script->pieces = body_bytes / (count * chunk_size);
