--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -59,8 +59,8 @@
   uint32_t max_accounts;
   size_t memory_bytes;         ///< that the process may use
   uint32_t descriptors;        ///< that the process may have open
-  uint32_t request_timeout_ms; ///< for the arrival of a whole request
-  uint32_t send_timeout_ms;    ///< without progress in the sending of a response
+  uint32_t request_timeout_ms; ///< for the arrival of a whole request; 0 = no limit
+  uint32_t send_timeout_ms;    ///< without progress in the sending of a response; 0 = no limit
   bool uses_tls;               ///< on the port of callers
   bool uses_routing_table;     ///< requests are placed by a routing table, not by team documents
   TtBounds bounds;
--- a/src/tarragontrack/control/intake.c
+++ b/src/tarragontrack/control/intake.c
@@ -348,10 +348,12 @@
   if (entry->phase == TT_INTAKE_REFUSED)
     return now_us - entry->phase_us > LINGER_US ? TT_INTAKE_LINGERED : TT_INTAKE_KEPT;
   if (entry->phase == TT_INTAKE_SERVING)
-    return entry->unsent_bytes > 0 && now_us - entry->unsent_us > send_us ? TT_INTAKE_RESPONSE_STUCK
-                                                                          : TT_INTAKE_KEPT;
-  return entry->reading_us > 0 && now_us - entry->reading_us > request_us ? TT_INTAKE_REQUEST_LATE
-                                                                          : TT_INTAKE_KEPT;
+    return send_us > 0 && entry->unsent_bytes > 0 && now_us - entry->unsent_us > send_us
+               ? TT_INTAKE_RESPONSE_STUCK
+               : TT_INTAKE_KEPT;
+  return request_us > 0 && entry->reading_us > 0 && now_us - entry->reading_us > request_us
+             ? TT_INTAKE_REQUEST_LATE
+             : TT_INTAKE_KEPT;
 }
 
 static void
