--- a/src/tarragontrack/io/http_server.c
+++ b/src/tarragontrack/io/http_server.c
@@ -194,7 +194,8 @@
   if (board != NULL && max_body_bytes > tt_intake_max_body_bytes (board))
     max_body_bytes = (uint32_t) tt_intake_max_body_bytes (board);
   server->options.max_body_bytes = max_body_bytes;
-  server->config.max_request_entity_size = max_body_bytes;
+  // h2o refuses a body in chunks at its limit; the scanner knows the exact one.
+  server->config.max_request_entity_size = (size_t) max_body_bytes + 1;
 }
 
 /// Creates h2o's configuration with one handler for all paths.
--- a/test/io/http_intake_test.c
+++ b/test/io/http_intake_test.c
@@ -389,6 +389,25 @@
   close_server ();
 }
 
+/// Guards against a limit that refuses a body in chunks which is exactly as long.
+static void
+chunks_at_the_limit (void)
+{
+  open_server (MEMORY_BYTES, 16);
+  connect_caller (0);
+  send_text (0, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n");
+  send_body (0, BODY_BYTES);
+  send_text (0, "\r\n0\r\n\r\n");
+  CU_ASSERT (wait_for (0, "HTTP/1.1 200"));
+  CU_ASSERT_EQUAL (last_body_size, BODY_BYTES);
+  send_text (0, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n");
+  send_body (0, BODY_BYTES);
+  send_text (0, "\r\n1\r\n");
+  CU_ASSERT (wait_for (0, "HTTP/1.1 413"));
+  CU_ASSERT_EQUAL (requests, 1);
+  close_server ();
+}
+
 /// Guards against stalled bodies that shut out others, and against refusals that do not say when to
 /// come back. A refused request must never run, whatever still arrives.
 static void
@@ -460,6 +479,7 @@
   { "kept_connection", kept_connection },
   { "expect_continue", expect_continue },
   { "lone_body", lone_body },
+  { "chunks_at_the_limit", chunks_at_the_limit },
   { "stalled_bodies", stalled_bodies },
   { "full_port", full_port },
   { "caller_gone_while_served", caller_gone_while_served },
