--- a/src/tarragontrack/io/http_intake.c
+++ b/src/tarragontrack/io/http_intake.c
@@ -166,6 +166,32 @@
   h2o_socket_write (connection->socket, &bytes, 1, on_refusal_written);
 }
 
+/// Calls the callback that waits for a connection to be read, as if it had failed.
+static void
+fail_read (TtHttpConnection *connection, const char *error)
+{
+  h2o_socket_t *socket = connection->socket;
+
+  if (connection->started)
+    hook_read (connection);
+  (connection->started ? connection->next_read : socket->_cb.read) (socket, error);
+}
+
+/// Closes a failed TLS connection that h2o wants to close in order: it waits for the caller's part,
+/// or for a write that libuv has refused, and has no timeout.
+static void
+close_failed (TtHttpConnection *connection, const char *error)
+{
+  h2o_socket_t *socket = connection->socket;
+
+  if (socket == NULL || socket->ssl == NULL)
+    return;
+  if (socket->_cb.write != NULL)
+    socket->_cb.write (socket, error);
+  else if (socket->_cb.read != NULL)
+    fail_read (connection, error);
+}
+
 /// Ends a connection. While h2o reads from it, h2o is told that it was closed; otherwise it notices
 /// when it writes.
 static void
@@ -179,10 +205,8 @@
     return;
   if (socket->_cb.read != NULL)
     {
-      if (connection->started)
-        hook_read (connection);
-      (connection->started ? connection->next_read : socket->_cb.read) (socket,
-                                                                        h2o_socket_error_closed);
+      fail_read (connection, h2o_socket_error_closed);
+      close_failed (connection, h2o_socket_error_closed);
       return;
     }
   fd = h2o_socket_get_fd (socket);
@@ -374,6 +398,8 @@
       return;
     }
   connection->next_read (socket, error);
+  if (error != NULL)
+    close_failed (connection, error);
   if (connection->socket == NULL)
     return;
   hook_read (connection);
@@ -449,6 +475,7 @@
   if (error != NULL)
     {
       h2o_socket_close (socket);
+      close_failed (connection, error);
       return;
     }
   protocol = h2o_socket_ssl_get_selected_protocol (socket);
