--- a/src/tarragontrack/io/operator_text.c
+++ b/src/tarragontrack/io/operator_text.c
@@ -117,6 +117,11 @@
                   "# HELP tarragontrack_ready 1 if the daemon takes requests\n"
                   "# TYPE tarragontrack_ready gauge\ntarragontrack_ready %d\n",
                   board->drain.ready ? 1 : 0);
+  (void) fprintf (out,
+                  "# TYPE tarragontrack_intake_bytes gauge\ntarragontrack_intake_bytes %zu\n"
+                  "# TYPE tarragontrack_intake_limit_bytes gauge\n"
+                  "tarragontrack_intake_limit_bytes %zu\n",
+                  board->intake.held_bytes, board->intake.max_bytes);
   write_histograms (out, board);
   TT_LIST_FOREACH (&board->backends.pools, it)
     write_pool_gauges (out, TT_CONTAINER_OF (it, TtPool, link));
--- a/test/soak/crowd.c
+++ b/test/soak/crowd.c
@@ -21,6 +21,7 @@
   FRAME_DATA = 0,
   FRAME_HEADERS = 1,
   FRAME_SETTINGS = 4,
+  FLAG_END_STREAM = 1,
   FLAG_END_HEADERS = 4,
   STATUS_TEXT_BYTES = 12, ///< "HTTP/1.1 503"
   REPLY_BYTES = 4096
@@ -80,6 +81,8 @@
   [SOAK_CROWD_EXTENSIONS] = "extensions",
   [SOAK_CROWD_TRAILERS] = "trailers",
   [SOAK_CROWD_UNREAD] = "unread",
+  [SOAK_CROWD_UNREAD_METRICS] = "metrics-unread",
+  [SOAK_CROWD_HTTP2_WHOLE] = "http2-whole",
   [SOAK_CROWD_HTTP2_STREAMS] = "http2-streams",
 };
 
@@ -151,9 +154,9 @@
   return sizeof head;
 }
 
-/// One piece that opens all streams and sends a part of each body.
+/// One piece that opens all streams and sends a part of each body, or the whole.
 static void
-make_streams (Script *script)
+make_streams (Script *script, bool whole)
 {
   static const char preface[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
   // POST, http, and path and authority as literals that are not indexed.
@@ -174,7 +177,8 @@
   for (size_t frame = 0; frame < frames; frame++)
     for (unsigned i = 0; i < STREAMS; i++)
       {
-        at += put_frame (at, FRAME_BYTES, FRAME_DATA, 0, 2 * i + 1);
+        at += put_frame (at, FRAME_BYTES, FRAME_DATA,
+                         whole && frame == frames - 1 ? FLAG_END_STREAM : 0, 2 * i + 1);
         memset (at, 'x', FRAME_BYTES);
         at += FRAME_BYTES;
       }
@@ -227,8 +231,12 @@
     case SOAK_CROWD_UNREAD:
       make_text (script, "GET /none/1 HTTP/1.1\r\nHost: h.example\r\n\r\n", UNREAD_REQUESTS);
       break;
+    case SOAK_CROWD_UNREAD_METRICS:
+      make_text (script, "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n", UNREAD_REQUESTS);
+      break;
     case SOAK_CROWD_HTTP2_STREAMS:
-      make_streams (script);
+    case SOAK_CROWD_HTTP2_WHOLE:
+      make_streams (script, crowd->kind == SOAK_CROWD_HTTP2_WHOLE);
       break;
     default:
       break;
@@ -274,7 +282,9 @@
       break;
     case SOAK_CROWD_SILENT:
     case SOAK_CROWD_UNREAD:
+    case SOAK_CROWD_UNREAD_METRICS:
     case SOAK_CROWD_HTTP2_STREAMS:
+    case SOAK_CROWD_HTTP2_WHOLE:
       break;
     default:
       (void) snprintf (text, sizeof text, "%sTransfer-Encoding: chunked\r\n\r\n", start);
@@ -398,7 +408,8 @@
       return;
     }
   connection->crowd->connected++;
-  if (connection->crowd->kind != SOAK_CROWD_UNREAD)
+  if (connection->crowd->kind != SOAK_CROWD_UNREAD
+      && connection->crowd->kind != SOAK_CROWD_UNREAD_METRICS)
     (void) uv_read_start (connect->handle, provide_buffer, on_read);
   write_next (connection);
 }
--- a/test/soak/crowd.h
+++ b/test/soak/crowd.h
@@ -6,20 +6,22 @@
 
 typedef enum
 {
-  SOAK_CROWD_LARGE_CHUNKS,  ///< bodies in chunks of 64 KiB that stop short of the limit
-  SOAK_CROWD_SMALL_CHUNKS,  ///< the same in chunks of 13 bytes
-  SOAK_CROWD_TINY_CHUNKS,   ///< a quarter of the limit in chunks of one byte, without an end
-  SOAK_CROWD_LENGTH,        ///< bodies with a length of which the last byte is missing
-  SOAK_CROWD_SMALL_BODIES,  ///< the same, of 64 KiB
-  SOAK_CROWD_COMPLETE,      ///< whole requests with bodies as long as the limit
-  SOAK_CROWD_CHUNKS_OVER,   ///< whole bodies in chunks, far over the limit
-  SOAK_CROWD_LENGTH_OVER,   ///< bodies with a length that is far over the limit
-  SOAK_CROWD_HEADS,         ///< a head that does not end
-  SOAK_CROWD_SILENT,        ///< no byte at all
-  SOAK_CROWD_EXTENSIONS,    ///< an extension of a chunk that does not end
-  SOAK_CROWD_TRAILERS,      ///< trailers that do not end
-  SOAK_CROWD_UNREAD,        ///< requests one after the other whose answers are not read
-  SOAK_CROWD_HTTP2_STREAMS, ///< many streams on each connection, with bodies that do not end
+  SOAK_CROWD_LARGE_CHUNKS,   ///< bodies in chunks of 64 KiB that stop short of the limit
+  SOAK_CROWD_SMALL_CHUNKS,   ///< the same in chunks of 13 bytes
+  SOAK_CROWD_TINY_CHUNKS,    ///< a quarter of the limit in chunks of one byte, without an end
+  SOAK_CROWD_LENGTH,         ///< bodies with a length of which the last byte is missing
+  SOAK_CROWD_SMALL_BODIES,   ///< the same, of 64 KiB
+  SOAK_CROWD_COMPLETE,       ///< whole requests with bodies as long as the limit
+  SOAK_CROWD_CHUNKS_OVER,    ///< whole bodies in chunks, far over the limit
+  SOAK_CROWD_LENGTH_OVER,    ///< bodies with a length that is far over the limit
+  SOAK_CROWD_HEADS,          ///< a head that does not end
+  SOAK_CROWD_SILENT,         ///< no byte at all
+  SOAK_CROWD_EXTENSIONS,     ///< an extension of a chunk that does not end
+  SOAK_CROWD_TRAILERS,       ///< trailers that do not end
+  SOAK_CROWD_UNREAD,         ///< requests one after the other whose answers are not read
+  SOAK_CROWD_UNREAD_METRICS, ///< the same for metrics
+  SOAK_CROWD_HTTP2_STREAMS,  ///< many streams on each connection, with bodies that do not end
+  SOAK_CROWD_HTTP2_WHOLE,    ///< the same with bodies that end
   SOAK_CROWD_KIND_COUNT
 } SoakCrowdKind;
 
