--- a/src/tarragontrack/control/intake.c
+++ b/src/tarragontrack/control/intake.c
@@ -41,22 +41,20 @@
   return entry->held_bytes > fixed ? entry->held_bytes : fixed;
 }
 
-/// Descriptors for connections of callers: half of those for sockets; the others are for the
-/// connections to backend servers, daemons and the store.
-static uint32_t
-caller_descriptors (const TtBoard *board)
+uint32_t
+tt_intake_caller_descriptors (uint32_t descriptors)
 {
   uint32_t reserved = PLATFORM_DESCRIPTORS + OPERATOR_DESCRIPTORS;
-  uint32_t all = board->config.descriptors;
 
-  return all > reserved + 2 * MIN_CONNECTIONS ? (all - reserved) / 2 : MIN_CONNECTIONS;
+  return descriptors > reserved + 2 * MIN_CONNECTIONS ? (descriptors - reserved) / 2
+                                                      : MIN_CONNECTIONS;
 }
 
 void
 tt_intake_open_port (TtBoard *board, TtIntakePort *port, uint32_t max_connections)
 {
   size_t by_memory = board->intake.max_bytes / CONNECTIONS_DIVISOR / connection_bytes (board);
-  uint32_t by_descriptors = caller_descriptors (board);
+  uint32_t by_descriptors = tt_intake_caller_descriptors (board->config.descriptors);
 
   port->max_connections = max_connections;
   if (port->max_connections > by_memory)
--- a/src/tarragontrack/control/intake.h
+++ b/src/tarragontrack/control/intake.h
@@ -5,6 +5,10 @@
 
 #include "tarragontrack/board/board_defs.h"
 
+/// Part of the process's descriptors for connections of callers: half of those for sockets. The
+/// others are for connections to backend servers, daemons and the store.
+uint32_t tt_intake_caller_descriptors (uint32_t descriptors);
+
 /// Opens a port of the daemon. Its connections are limited to @max_connections, and to what the
 /// account allows all of them.
 void tt_intake_open_port (TtBoard *board, TtIntakePort *port, uint32_t max_connections);
--- a/src/tarragontrack/io/http_intake.c
+++ b/src/tarragontrack/io/http_intake.c
@@ -1,21 +1,16 @@
 /// Reads of the HTTP server's connections: scans requests before h2o buffers them, charges them to
 /// the board's account, and carries out its verdicts.
 #include "tarragontrack/board/error.h"
-#include "tarragontrack/codec/chat.h"
 #include "tarragontrack/control/intake.h"
-#include "tarragontrack/control/retry_after.h"
 #include "tarragontrack/io/clock.h"
 #include "tarragontrack/io/http_server_defs.h"
 #include <h2o/http1.h>
 #include <h2o/http2.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
-#include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/time.h>
-#include <unistd.h>
 
 enum
 {
@@ -24,12 +19,9 @@
   STATUS_LONG_BODY = 413,
   STATUS_LONG_HEAD = 431,
   STATUS_UNAVAILABLE = 503,
-  REFUSAL_BYTES = 1024,
-  HEADERS_BYTES = 512,
   /// Bytes of a head that do not count towards the limit on headers: the method, and the separators
   /// of h2o's highest number of headers.
   HEAD_SLACK_BYTES = 1024,
-  DISCARD_BYTES = 16384, ///< fewer are left in the buffer
   CHECK_INTERVAL_US = 500000,
   HANDSHAKE_TIMEOUT_US = 10000000
 };
@@ -37,12 +29,6 @@
 /// Part of the account above which the kernel's buffers of connections in service are looked at.
 #define UNREAD_DIVISOR 4
 
-typedef struct
-{
-  char text[HEADERS_BYTES];
-  size_t length;
-} RefusalHeaders;
-
 static void hook_read (TtHttpConnection *connection);
 
 TtHttpConnection *
@@ -70,24 +56,11 @@
   return arrived - connection->answered;
 }
 
-/// Gives the memory pages of a range back to the kernel. The range reads as zeros afterwards.
-static size_t
-discard_pages (char *bytes, size_t size)
-{
-  uintptr_t page = (uintptr_t) sysconf (_SC_PAGESIZE);
-  uintptr_t first = ((uintptr_t) bytes + page - 1) / page * page;
-  uintptr_t last = ((uintptr_t) bytes + size) / page * page;
-
-  if (first >= last || madvise ((void *) first, last - first, MADV_DONTNEED) != 0)
-    return 0;
-  return last - first;
-}
-
 void
 tt_http_server_release_body (h2o_req_t *request)
 {
   TtHttpConnection *connection = tt_http_intake_find (request);
-  size_t size = discard_pages (request->entity.base, request->entity.len);
+  size_t size = tt_http_refusal_discard_pages (request->entity.base, request->entity.len);
 
   if (connection != NULL && !connection->http2)
     connection->released_bytes += size;
@@ -114,58 +87,6 @@
              : 0;
 }
 
-static void
-on_refusal_written (h2o_socket_t *socket, const char *error)
-{
-  // The caller sees the end of the response; what it still sends is read and discarded.
-  if (error == NULL && socket->ssl == NULL)
-    (void) shutdown (h2o_socket_get_fd (socket), SHUT_WR);
-}
-
-/// Adds a header to a refusal (a TtAddHeader callback).
-static void
-add_refusal_header (void *target, const char *name, const char *value)
-{
-  RefusalHeaders *headers = target;
-  int length = snprintf (headers->text + headers->length, sizeof headers->text - headers->length,
-                         "%s: %s\r\n", name, value);
-
-  if (length > 0 && (size_t) length < sizeof headers->text - headers->length)
-    headers->length += (size_t) length;
-}
-
-/// Writes a refusal past h2o, which has no response for a request that is not complete.
-static void
-write_refusal (TtHttpConnection *connection, unsigned status, const char *reason)
-{
-  const TtHttpServerOptions *options = &connection->server->options;
-  RefusalHeaders headers = { .length = 0 };
-  TtReplyAction reply = { .outcome = TT_OUTCOME_NOT_RUN, .status = status };
-  char body[TT_ERROR_JSON_MAX];
-  h2o_iovec_t bytes;
-  size_t size;
-  int length;
-
-  if (connection->socket->_cb.write != NULL || connection->refusal_text != NULL)
-    return; // an interim response is being written
-  connection->refusal_text = malloc (REFUSAL_BYTES + TT_ERROR_JSON_MAX);
-  if (connection->refusal_text == NULL)
-    return;
-  (void) tt_error_set (&reply.error, TT_E_LIMIT, TT_STEP_CALLER_READ, "caller", "%s", reason);
-  if (status == STATUS_UNAVAILABLE)
-    reply.retry_after_ms = tt_retry_after_elsewhere_ms ();
-  size = options->format_refusal != NULL
-             ? options->format_refusal (options->context, &reply, add_refusal_header, &headers,
-                                        body, sizeof body)
-             : tt_http_server_format_refusal (NULL, &reply, add_refusal_header, &headers, body,
-                                              sizeof body);
-  length = snprintf (connection->refusal_text, REFUSAL_BYTES + TT_ERROR_JSON_MAX,
-                     "HTTP/1.1 %u \r\nConnection: close\r\n%.*sContent-Length: %zu\r\n\r\n%.*s",
-                     status, (int) headers.length, headers.text, size, (int) size, body);
-  bytes = h2o_iovec_init (connection->refusal_text, (size_t) length);
-  h2o_socket_write (connection->socket, &bytes, 1, on_refusal_written);
-}
-
 /// Calls the callback that waits for a connection to be read, as if it had failed.
 static void
 fail_read (TtHttpConnection *connection, const char *error)
@@ -219,22 +140,10 @@
 refuse (TtHttpConnection *connection, unsigned status, const char *reason)
 {
   TtBoard *board = board_of (connection);
-  h2o_buffer_t *input = connection->socket->input;
-  size_t kept;
 
   if (board != NULL)
     tt_intake_record_end (board, &connection->intake, reason, true, tt_clock_now_us ());
-  write_refusal (connection, status, reason);
-  // h2o keeps the buffer and may refer to a head that it has parsed; the other pages are given
-  // back.
-  kept = connection->scan.in_body ? connection->scan.head_bytes : 0;
-  if (kept < input->size)
-    {
-      input->size = kept;
-      (void) discard_pages (input->bytes + kept,
-                            input->capacity - (size_t) (input->bytes - input->_buf) - kept);
-    }
-  connection->known_size = input->size;
+  tt_http_refusal_write (connection, status, reason);
   connection->refusal = TT_REQUEST_SCAN_PARTIAL;
   if (board != NULL)
     tt_intake_set_phase (board, &connection->intake, TT_INTAKE_REFUSED, tt_clock_now_us ());
@@ -356,18 +265,6 @@
   return true;
 }
 
-/// Discards what a caller still sends after its refusal.
-static void
-discard_input (TtHttpConnection *connection)
-{
-  h2o_buffer_t *input = connection->socket->input;
-  size_t size = input->size - connection->known_size;
-
-  input->size = connection->known_size;
-  if (size > DISCARD_BYTES)
-    (void) discard_pages (input->bytes + input->size, size);
-}
-
 /// True if an HTTP/2 caller sends more than any request needs.
 static bool
 is_excessive (const TtHttpConnection *connection)
@@ -386,7 +283,7 @@
 
   if (connection->intake.phase == TT_INTAKE_REFUSED && error == NULL)
     {
-      discard_input (connection);
+      tt_http_refusal_discard (connection);
       return;
     }
   // Bytes that were read before this callback was in place: their requests cannot be told apart.
--- a/src/tarragontrack/io/http_server.c
+++ b/src/tarragontrack/io/http_server.c
@@ -20,23 +20,6 @@
   TtHttpServer *server;
 } Handler;
 
-size_t
-tt_http_server_format_refusal (void *context, const TtReplyAction *reply, TtAddHeader add,
-                               void *target, char *body, size_t size)
-{
-  char text[16];
-
-  (void) context;
-  if (reply->retry_after_ms > 0)
-    {
-      (void) snprintf (text, sizeof text, "%u", (reply->retry_after_ms + 999) / 1000);
-      add (target, "retry-after", text);
-    }
-  add (target, "content-type", "application/json");
-  add (target, "x-outcome", tt_chat_outcome_name (reply->outcome));
-  return tt_chat_format_error (body, size, reply->status, "", reply->outcome, reply->error.detail);
-}
-
 /// Adds a header to the response (a TtAddHeader callback).
 static void
 add_header (void *target, const char *name, const char *value)
--- a/src/tarragontrack/io/http_server_defs.h
+++ b/src/tarragontrack/io/http_server_defs.h
@@ -1,4 +1,5 @@
-/// Private types of the HTTP server, for io/http_server.c and io/http_intake.c only.
+/// Private types of the HTTP server, for io/http_server.c, io/http_intake.c and io/http_refusal.c
+/// only.
 #pragma once
 
 #include "tarragontrack/board/intake_defs.h"
@@ -64,3 +65,15 @@
 
 /// Settles the connections whose requests were answered (a prepare callback).
 void tt_http_intake_settle (uv_prepare_t *prepare);
+
+/// Writes the refusal of the request that is being read, and gives back the memory of what has
+/// arrived of it.
+void tt_http_refusal_write (TtHttpConnection *connection, unsigned status, const char *reason);
+
+/// Discards what a caller still sends after its refusal.
+void tt_http_refusal_discard (TtHttpConnection *connection);
+
+/// tt_http_refusal_discard_pages - gives the memory pages of a range back to the kernel
+///
+/// RETURN     number of bytes, which read as zeros afterwards
+size_t tt_http_refusal_discard_pages (char *bytes, size_t size);
--- a/src/tarragontrack/io/router_options.c
+++ b/src/tarragontrack/io/router_options.c
@@ -1,4 +1,5 @@
 #include "tarragontrack/io/router_options.h"
+#include "tarragontrack/control/intake.h"
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -67,6 +68,9 @@
   config->max_accounts = settings->max_accounts;
   config->memory_bytes = (size_t) (settings->memory_mb * (1 << 20));
   config->descriptors = descriptors (settings);
+  // Each request may need a connection to a backend server; one of HTTP/2 carries many requests.
+  if (config->max_requests > tt_intake_caller_descriptors (config->descriptors))
+    config->max_requests = tt_intake_caller_descriptors (config->descriptors);
   config->request_timeout_ms = settings->request_timeout_ms;
   config->send_timeout_ms = settings->send_timeout_ms;
   config->uses_tls = settings->certificate_file[0] != '\0';
