--- a/test/soak/crowd.h
+++ b/test/soak/crowd.h
@@ -45,5 +45,12 @@
 /// Number of connections that are open.
 unsigned soak_crowd_open_connections (const SoakCrowd *crowd);
 
+/// Lets a random crowd loose on a random daemon for some time, with one call of a few. Draws from a
+/// generator of its own.
+void soak_crowd_inject (Soak *soak);
+
+/// Checks that no daemon has used more memory than its settings allow.
+void soak_crowd_check_memory (Soak *soak);
+
 /// Number of connections on which an answer with a status arrived.
 unsigned soak_crowd_answers (const SoakCrowd *crowd, unsigned status);
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -1,5 +1,6 @@
 #include "faults.h"
 #include "backend.h"
+#include "crowd.h"
 #include "proxy.h"
 #include "store.h"
 #include <fcntl.h>
@@ -408,6 +409,7 @@
 
   if (tt_rng_below (&soak->garbage_rng, GARBAGE_DIVISOR) == 0)
     inject_garbage (soak);
+  soak_crowd_inject (soak);
   if (kind >= 35 && kind < 55)
     {
       soak_log (soak, "new configuration after version %llu",
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -2,6 +2,7 @@
 /// exit code is 1 if a guarantee was violated.
 #include "backend.h"
 #include "caller.h"
+#include "crowd.h"
 #include "faults.h"
 #include "notice.h"
 #include "store.h"
@@ -39,6 +40,8 @@
   soak_store_tick (&soak.store);
   if (++ticks % PROBE_TICKS == 0 && soak_now_us () < soak.end_us)
     soak_caller_probe_route (&soak);
+  if (ticks % USAGE_TICKS == 0)
+    soak_crowd_check_memory (&soak);
   if (soak.maintenance_only && ticks % USAGE_TICKS == 0)
     soak_usage_sample (&soak);
   if (soak_now_us () > soak.end_us
@@ -140,9 +143,9 @@
   if (soak.maintenance_only)
     soak_usage_check (&soak);
   (void) printf ("seed %llu: sent %u, served %u, refused %u, failed %u, crashes on a part %u, "
-                 "spoilt answers %u, violations %u\n",
+                 "spoilt answers %u, crowds %u, violations %u\n",
                  (unsigned long long) soak.seed, soak.sent, soak.served, soak.refused, soak.failed,
-                 soak.deadly_crashes, soak.spoilt, soak.violations);
+                 soak.deadly_crashes, soak.spoilt, soak.crowds, soak.violations);
   soak_clean_up (&soak);
   g_free (program);
   return soak.violations > 0 ? 1 : 0;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -143,6 +143,7 @@
     tt_list_init (&soak->request_buckets[i]);
   tt_rng_init (&soak->rng, soak->seed, 1);
   tt_rng_init (&soak->garbage_rng, soak->seed, 2);
+  tt_rng_init (&soak->crowd_rng, soak->seed, 3);
   soak->start_us = soak_now_us ();
   (void) snprintf (soak->directory, sizeof soak->directory, "%s/soak-XXXXXX", g_get_tmp_dir ());
   (void) signal (SIGPIPE, SIG_IGN);
@@ -172,7 +173,7 @@
   daemon->soak = soak;
   daemon->index = index;
   if (daemon->limits == NULL)
-    daemon->limits = "\"max_requests\": 1024, \"max_attempts\": 2048";
+    daemon->limits = "\"max_requests\": 1024, \"max_attempts\": 2048, \"memory_mb\": 64";
   daemon->caller_port = soak_free_port (soak);
   daemon->operator_port = soak_free_port (soak);
   daemon->peer_port = soak_free_port (soak);
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -19,7 +19,8 @@
   SOAK_STREAM_EVENTS = 12, ///< events per stream
   SOAK_REQUEST_BUCKETS = 4096,
   SOAK_ID_MAX = 32,
-  SOAK_KEY_MAX = 16
+  SOAK_KEY_MAX = 16,
+  SOAK_MEMORY_MB = 64 ///< in the settings of the daemons
 };
 
 typedef struct Soak Soak;
@@ -76,6 +77,7 @@
   bool running;
   bool paused;
   bool terminating;      ///< received SIGTERM
+  bool above_memory;     ///< was reported to use more memory than its settings allow
   int64_t last_fault_us; ///< when it was last sent a signal, or a fault of it began or ended
   int64_t started_us;
   int64_t resumed_us; ///< end of the last freeze
@@ -146,6 +148,7 @@
   uv_loop_t *loop;
   TtHttpClient *http;
   TtRng rng;
+  TtRng crowd_rng;   ///< of crowds, apart for the same reason as garbage_rng
   TtRng garbage_rng; ///< of spoilt answers and of streams that may not be resumed; apart, so that
                      ///< the other faults of a seed stay the same
   uint64_t seed;
@@ -169,6 +172,7 @@
   unsigned served;
   unsigned refused;
   unsigned failed;
+  unsigned crowds;           ///< that were let loose
   unsigned spoilt;           ///< answers that backend servers spoilt
   unsigned final_phase_sent; ///< requests sent in the final phase, after recovery from all faults
   unsigned final_phase_served;
