--- a/test/io/early_answer_test.c
+++ b/test/io/early_answer_test.c
@@ -21,7 +21,8 @@
 
 typedef enum
 {
-  READS_HEAD, ///< reads nothing after the first bytes
+  READS_HEAD, ///< answers the head, and reads nothing after the first bytes
+  READS_ON,   ///< answers the head, and reads on
   READS_ALL
 } Reading;
 
@@ -180,7 +181,7 @@
   if (connection->expected == 0)
     connection->expected = request_size (connection);
   if (!connection->answered && connection->expected > 0
-      && (answer->reading == READS_HEAD || connection->received >= connection->expected))
+      && (answer->reading != READS_ALL || connection->received >= connection->expected))
     send_answer (connection);
 }
 
@@ -363,7 +364,7 @@
         const char *head;
         bool is_refusal;
 
-        if (answers[i].reading == READS_HEAD && answers[i].ending == ENDS_BY_CLOSE
+        if (answers[i].reading != READS_ALL && answers[i].ending != ENDS_BY_RESET
             && uploads[k].body_size == SHORT_BODY)
           continue; // has arrived with the head, so the connection is closed in order
         open_front (&answers[i], &uploads[k]);
@@ -397,6 +398,9 @@
     { "no length, reset at once", "200 OK\r\n", "partial", READS_HEAD, ENDS_BY_RESET, 0 },
     { "no length, closed", "200 OK\r\n", "partial", READS_HEAD, ENDS_BY_CLOSE, RESET_DELAY_MS },
     { "no length, closed at once", "200 OK\r\n", "partial", READS_HEAD, ENDS_BY_CLOSE, 0 },
+    { "no length, reads on, closed", "200 OK\r\n", "partial", READS_ON, ENDS_BY_CLOSE, 0 },
+    { "no length, reads on, reset", "200 OK\r\n", "partial", READS_ON, ENDS_BY_RESET, 0 },
+    { "no length, ended", "200 OK\r\n", "partial", READS_HEAD, ENDS_IN_ORDER, RESET_DELAY_MS },
     { "no length, no body, reset", "200 OK\r\n", "", READS_HEAD, ENDS_BY_RESET, RESET_DELAY_MS },
     { "chunks, reset", "200 OK\r\nTransfer-Encoding: chunked\r\n", "7\r\npartial\r\n", READS_HEAD,
       ENDS_BY_RESET, RESET_DELAY_MS },
