--- a/test/io/http_intake_test.c
+++ b/test/io/http_intake_test.c
@@ -1,11 +1,6 @@
-#include "support/free_port.h"
+#include "support/intake_server.h"
 #include "support/unit.h"
-#include "tarragontrack/board/board.h"
-#include "tarragontrack/control/controllers.h"
-#include "tarragontrack/io/clock.h"
-#include "tarragontrack/io/http_server.h"
 #include <h2o.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -37,9 +32,7 @@
   char bytes[];
 } Write;
 
-static uv_loop_t loop;
-static TtBoard *board;
-static TtHttpServer *server;
+static IntakeServer fixture;
 static Caller callers[CALLERS];
 static unsigned requests;
 static size_t last_body_size;
@@ -70,38 +63,16 @@
 static void
 open_server (size_t memory_bytes, uint32_t max_connections)
 {
-  TtBoardConfig config = { .fleet = "f",
-                           .name = "d",
-                           .domain = "z",
-                           .max_requests = 16,
-                           .max_attempts = 16,
-                           .max_accounts = 16,
-                           .memory_bytes = memory_bytes,
-                           .descriptors = 1024,
-                           .request_timeout_ms = 30000,
-                           .send_timeout_ms = 10000 };
-  TtHttpServerOptions options = { .address = "127.0.0.1",
-                                  .max_connections = max_connections,
-                                  .max_body_bytes = BODY_BYTES,
-                                  .max_header_bytes = 4096,
-                                  .read_timeout_ms = 60000,
-                                  .on_request = on_request };
-  TtController controller = tt_intake_controller ();
-  TtError error = { 0 };
-
-  (void) signal (SIGPIPE, SIG_IGN);
-  (void) uv_loop_init (&loop);
-  board = tt_board_new (&config);
-  UNIT_REQUIRE (board != NULL && tt_board_add_controller (board, &controller) == 0);
-  options.board = board;
-  options.port = (uint16_t) free_port_find ();
-  server = tt_http_server_new (&loop, &options, &error);
-  UNIT_REQUIRE (server != NULL);
+  const TtHttpServerOptions options = { .max_connections = max_connections,
+                                        .max_body_bytes = BODY_BYTES,
+                                        .max_header_bytes = 4096,
+                                        .read_timeout_ms = 60000,
+                                        .on_request = on_request };
+
+  intake_server_open (&fixture, &options, memory_bytes);
   memset (callers, 0, sizeof callers);
   requests = 0;
   held = false;
-  for (unsigned i = 0; i < CALLERS; i++)
-    callers[i].tcp.data = (void *) (uintptr_t) options.port;
 }
 
 static void
@@ -141,8 +112,8 @@
   Caller *caller = &callers[index];
   struct sockaddr_in address;
 
-  (void) uv_ip4_addr ("127.0.0.1", (int) (uintptr_t) caller->tcp.data, &address);
-  (void) uv_tcp_init (&loop, &caller->tcp);
+  (void) uv_ip4_addr ("127.0.0.1", fixture.port, &address);
+  (void) uv_tcp_init (&fixture.loop, &caller->tcp);
   (void) uv_tcp_nodelay (&caller->tcp, 1);
   (void) uv_tcp_connect (&caller->connect, &caller->tcp, (const struct sockaddr *) &address,
                          on_connected);
@@ -189,28 +160,10 @@
   free (bytes);
 }
 
-static void
-on_wait_end (uv_timer_t *timer)
-{
-  uv_stop (timer->loop);
-}
-
-/// Runs the loop for some milliseconds, with a tick of the daemon.
 static void
 run (unsigned ms)
 {
-  TtEvent tick = { .type = TT_EVENT_TICK };
-  uv_timer_t timer;
-
-  (void) uv_timer_init (&loop, &timer);
-  (void) uv_timer_start (&timer, on_wait_end, ms, 0);
-  (void) uv_run (&loop, UV_RUN_DEFAULT);
-  uv_close ((uv_handle_t *) &timer, NULL);
-  (void) uv_run (&loop, UV_RUN_NOWAIT);
-  tt_board_step (board, &tick, tt_clock_now_us ());
-  while (tt_list_first (&board->outbox) != NULL)
-    tt_board_release_action (board, tt_board_pop_action (board));
-  tt_http_server_check (server, tt_clock_now_us ());
+  intake_server_run (&fixture, ms);
 }
 
 /// Runs the loop until a caller's response contains a text, or its connection has ended. RETURN
@@ -246,13 +199,7 @@
   for (unsigned i = 0; i < CALLERS; i++)
     if (callers[i].tcp.loop != NULL)
       uv_close ((uv_handle_t *) &callers[i].tcp, NULL);
-  for (unsigned ms = 0; ms < RUN_LIMIT_MS && tt_http_server_count_connections (server) > 0; ms++)
-    run (1);
-  CU_ASSERT_EQUAL (board->intake.held_bytes, 0);
-  tt_http_server_free (server);
-  (void) uv_run (&loop, UV_RUN_NOWAIT);
-  CU_ASSERT_EQUAL (uv_loop_close (&loop), 0);
-  tt_board_free (board);
+  intake_server_close (&fixture);
 }
 
 /// Guards against a refusal that is lost because the connection is reset while the caller sends.
@@ -289,7 +236,7 @@
       CU_ASSERT (wait_for_end (0));
       CU_ASSERT (!callers[0].failed);
       CU_ASSERT_EQUAL (requests, 0);
-      CU_ASSERT_EQUAL (board->counters[TT_COUNT_CALLERS_REFUSED], 1);
+      CU_ASSERT_EQUAL (fixture.board->counters[TT_COUNT_CALLERS_REFUSED], 1);
       close_server ();
     }
 }
@@ -385,7 +332,7 @@
       CU_ASSERT_EQUAL (requests, i);
       CU_ASSERT_EQUAL (last_body_size, BODY_BYTES);
     }
-  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CALLERS_REFUSED], 0);
+  CU_ASSERT_EQUAL (fixture.board->counters[TT_COUNT_CALLERS_REFUSED], 0);
   close_server ();
 }
 
@@ -427,7 +374,7 @@
   connect_caller (6);
   send_text (6, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
   CU_ASSERT (wait_for (6, "HTTP/1.1 200"));
-  CU_ASSERT (board->intake.held_bytes <= board->intake.max_bytes);
+  CU_ASSERT (fixture.board->intake.held_bytes <= fixture.board->intake.max_bytes);
   send_body (5, 1);
   CU_ASSERT (wait_for (5, "HTTP/1.1 200"));
   CU_ASSERT_EQUAL (requests, 2);
--- a/test/io/http_tls_test.c
+++ b/test/io/http_tls_test.c
@@ -1,10 +1,7 @@
 /// The HTTP server with TLS. Callers are child processes, because they block in the handshake.
-#include "support/free_port.h"
+#include "support/intake_server.h"
 #include "support/unit.h"
-#include "tarragontrack/board/board.h"
-#include "tarragontrack/control/controllers.h"
 #include "tarragontrack/io/clock.h"
-#include "tarragontrack/io/http_server.h"
 #include <arpa/inet.h>
 #include <glib.h>
 #include <h2o.h>
@@ -37,10 +34,7 @@
   unsigned requests;    ///< that the server accepts
 } Exchange;
 
-static uv_loop_t loop;
-static TtBoard *board;
-static TtHttpServer *server;
-static unsigned port;
+static IntakeServer fixture;
 static unsigned requests;
 static gchar *certificate_file;
 static gchar *key_file;
@@ -80,41 +74,22 @@
 static void
 open_server (uint32_t max_connections)
 {
-  TtBoardConfig config = { .fleet = "f",
-                           .name = "d",
-                           .domain = "z",
-                           .max_requests = 16,
-                           .max_attempts = 16,
-                           .max_accounts = 16,
-                           .memory_bytes = (size_t) 16 * MB,
-                           .descriptors = 1024,
-                           .uses_tls = true };
-  TtHttpServerOptions options = { .address = "127.0.0.1",
-                                  .certificate_file = certificate_file,
-                                  .key_file = key_file,
-                                  .max_connections = max_connections,
-                                  .max_body_bytes = BODY_BYTES,
-                                  .max_header_bytes = 4096,
-                                  .read_timeout_ms = 60000,
-                                  .on_request = on_request };
-  TtController controller = tt_intake_controller ();
-  TtError error = { 0 };
+  const TtHttpServerOptions options = { .certificate_file = certificate_file,
+                                        .key_file = key_file,
+                                        .max_connections = max_connections,
+                                        .max_body_bytes = BODY_BYTES,
+                                        .max_header_bytes = 4096,
+                                        .read_timeout_ms = 60000,
+                                        .on_request = on_request };
 
-  (void) uv_loop_init (&loop);
-  board = tt_board_new (&config);
-  UNIT_REQUIRE (board != NULL && tt_board_add_controller (board, &controller) == 0);
-  port = free_port_find ();
-  options.port = (uint16_t) port;
-  options.board = board;
-  server = tt_http_server_new (&loop, &options, &error);
-  UNIT_REQUIRE (server != NULL);
+  intake_server_open (&fixture, &options, (size_t) 16 * MB);
   requests = 0;
 }
 
 static int
 connect_socket (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (fixture.port) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
@@ -175,34 +150,10 @@
   return strcmp (statuses, exchange->statuses) == 0 ? 0 : 4;
 }
 
-static void
-on_wait_end (uv_timer_t *timer)
-{
-  uv_stop (timer->loop);
-}
-
 static void
 run (unsigned ms)
 {
-  uv_timer_t timer;
-
-  (void) uv_timer_init (&loop, &timer);
-  (void) uv_timer_start (&timer, on_wait_end, ms, 0);
-  (void) uv_run (&loop, UV_RUN_DEFAULT);
-  uv_close ((uv_handle_t *) &timer, NULL);
-  (void) uv_run (&loop, UV_RUN_NOWAIT);
-}
-
-static void
-close_server (void)
-{
-  for (unsigned ms = 0; ms < RUN_LIMIT_MS && tt_http_server_count_connections (server) > 0; ms++)
-    run (1);
-  CU_ASSERT_EQUAL (board->intake.held_bytes, 0);
-  tt_http_server_free (server);
-  (void) uv_run (&loop, UV_RUN_NOWAIT);
-  CU_ASSERT_EQUAL (uv_loop_close (&loop), 0);
-  tt_board_free (board);
+  intake_server_run (&fixture, ms);
 }
 
 /// Starts a caller and serves it until it has ended. RETURN its exit code.
@@ -268,7 +219,7 @@
         open_server (16);
         CU_ASSERT_EQUAL (serve (&exchanges[k]), 0);
         CU_ASSERT_EQUAL (requests, exchanges[k].requests);
-        close_server ();
+        intake_server_close (&fixture);
       }
 }
 
@@ -293,7 +244,7 @@
       (void) close (fd);
       CU_ASSERT_EQUAL (serve (&exchange), 0); // ends without a word of TLS
     }
-  close_server ();
+  intake_server_close (&fixture);
 }
 
 /// Guards against callers that never begin a handshake and keep others out, or stay for ever.
@@ -315,12 +266,13 @@
       run (2);
     }
   CU_ASSERT_EQUAL (serve (&exchange), 0);
-  CU_ASSERT (board->counters[TT_COUNT_CALLERS_CLOSED] >= 3);
-  tt_http_server_check (server, tt_clock_now_us () + 11 * TT_SECOND_US);
-  for (unsigned ms = 0; ms < RUN_LIMIT_MS && tt_http_server_count_connections (server) > 0; ms++)
+  CU_ASSERT (fixture.board->counters[TT_COUNT_CALLERS_CLOSED] >= 3);
+  tt_http_server_check (fixture.server, tt_clock_now_us () + 11 * TT_SECOND_US);
+  for (unsigned ms = 0; ms < RUN_LIMIT_MS && tt_http_server_count_connections (fixture.server) > 0;
+       ms++)
     run (1);
-  CU_ASSERT_EQUAL (tt_http_server_count_connections (server), 0);
-  close_server ();
+  CU_ASSERT_EQUAL (tt_http_server_count_connections (fixture.server), 0);
+  intake_server_close (&fixture);
   for (unsigned i = 0; i < 6; i++)
     (void) close (fds[i]);
 }
--- a/tools/checks/fuzz.sh
+++ b/tools/checks/fuzz.sh
@@ -29,4 +29,5 @@
 run object 200000
 run store 150000
 run dialect 150000
+run request_scan 150000
 exit $status
