review: a manifest that is never read after the store's return from a copy

Cause: daemons do not read Store-Era, so a watch goes on at a revision that the store has given out again, and the version at that revision is missed.

--- /dev/null
+++ b/review/rig-2/small.h
@@ -0,0 +1,21 @@
+/// A small deployment after the sheet of raagmala-sync: 4 daemons in 3 zones, one plain service of
+/// 3 backend servers, two keys of one tenant.
+#pragma once
+
+#include "rig.h"
+
+#define HOST "desk.example"
+#define KEY_KEPT "keyaaaaaaaaaaaaaaaaa"
+#define KEY_TAKEN "keybbbbbbbbbbbbbbbbb"
+#define CONFIG_MS 2000
+#define DRAIN_MS 2000
+#define OUTER_MS 5000
+#define STABLE_MS 3000
+
+/// Writes the manifest. Both keys are in it, or only the first one. ROUTES: number of idle routes
+/// beside /grant/. RETURN its revision in the store; 0 if the store is away.
+uint64_t put_manifest (int version, int routes, int both_keys);
+
+/// Starts store, backend servers licence-1 to licence-3 and the daemons, and waits until they are
+/// ready.
+void start_deployment (void);
