--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -392,9 +392,19 @@
 static StoreMode store_mode;
 static unsigned store_era = 1;
 static unsigned store_generation; ///< connections of an earlier one are reset
-static char store_ip[32];
-static unsigned store_port;
-static int store_listener = -1;
+
+/// Address of the store for one daemon.
+typedef struct
+{
+  char ip[32];
+  unsigned port;
+  int listener;
+  bool refused;       ///< the store turns this daemon away
+  int64_t watched_ms; ///< when it last began to watch the backend servers for longer; 0 = never
+} StoreDoor;
+
+static StoreDoor store_doors[MAX_DAEMONS];
+static unsigned store_door_count;
 static unsigned answered_lists;
 static unsigned answered_servers;
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -666,19 +676,32 @@
 }
 
 /// Connections of the store that are open, to reset them when it goes away.
-static int store_connections[1024];
+static struct
+{
+  int fd;
+  unsigned door;
+} store_connections[1024];
 static unsigned store_connection_count;
 
+typedef struct
+{
+  int fd;
+  unsigned door;
+} StoreConnection;
+
 static void *
 serve_store (void *argument)
 {
-  int fd = (int) (intptr_t) argument;
+  StoreConnection connection = *(StoreConnection *) argument;
+  int fd = connection.fd;
+  StoreDoor *door = &store_doors[connection.door];
   Message *message = calloc (1, sizeof *message);
   unsigned generation = store_generation;
   bool dead = false;
-  bool reset;
+  bool reset = false;
 
-  while (message != NULL && read_message (fd, message))
+  free (argument);
+  while (!reset && message != NULL && read_message (fd, message))
     {
       json_object *answer = NULL;
       char *head_end = strstr (message->head, "\r\n");
@@ -686,8 +709,12 @@
       char *out;
       size_t size;
       StoreMode mode;
-      int status = carry_out (message, generation, &answer);
+      int status;
 
+      if (strstr (message->head, "/servers?Watch=") != NULL
+          && strstr (message->head, "WaitMs=20000") != NULL)
+        door->watched_ms = now_ms ();
+      status = door->refused ? 503 : carry_out (message, generation, &answer);
       *head_end = '\0';
       pthread_mutex_lock (&store_lock);
       mode = store_mode;
@@ -722,7 +749,7 @@
     }
   pthread_mutex_lock (&store_lock);
   for (unsigned i = 0; i < store_connection_count; i++)
-    if (store_connections[i] == fd)
+    if (store_connections[i].fd == fd)
       store_connections[i] = store_connections[--store_connection_count];
   reset = generation != store_generation;
   pthread_mutex_unlock (&store_lock);
@@ -739,38 +766,68 @@
 static void *
 accept_store (void *argument)
 {
-  int listener = (int) (intptr_t) argument;
+  unsigned index = (unsigned) (uintptr_t) argument;
+  int listener = store_doors[index].listener;
 
   for (;;)
     {
       int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+      StoreConnection *connection;
 
       if (fd < 0)
         return NULL;
+      connection = malloc (sizeof *connection);
+      if (connection == NULL)
+        rig_finish (2);
+      *connection = (StoreConnection){ fd, index };
       pthread_mutex_lock (&store_lock);
       if (store_connection_count < 1024)
-        store_connections[store_connection_count++] = fd;
+        {
+          store_connections[store_connection_count].fd = fd;
+          store_connections[store_connection_count++].door = index;
+        }
       pthread_mutex_unlock (&store_lock);
-      start_thread (serve_store, (void *) (intptr_t) fd);
+      start_thread (serve_store, connection);
     }
 }
 
+/// Opens the address of the store for one daemon.
 static void
-open_store (void)
+open_door (unsigned index)
 {
-  store_listener = listen_on (store_ip, &store_port);
-  if (store_listener < 0)
+  StoreDoor *door = &store_doors[index];
+
+  door->listener = listen_on (door->ip, &door->port);
+  if (door->listener < 0)
     rig_finish (2);
-  start_thread (accept_store, (void *) (intptr_t) store_listener);
+  start_thread (accept_store, (void *) (uintptr_t) index);
 }
 
 void
 store_start (void)
 {
-  (void) snprintf (store_ip, sizeof store_ip, "127.%u.200.7", block);
   content.head = 500; // the counter starts above 0
-  open_store ();
-  note ("store: %s:%u", store_ip, store_port);
+}
+
+void
+store_refuse (const Daemon *daemon, bool refused)
+{
+  unsigned index = (unsigned) (daemon - daemons);
+
+  pthread_mutex_lock (&store_lock);
+  store_doors[index].refused = refused;
+  for (unsigned i = 0; refused && i < store_connection_count; i++)
+    if (store_connections[i].door == index)
+      (void) shutdown (store_connections[i].fd, SHUT_RDWR);
+  pthread_mutex_unlock (&store_lock);
+  note ("store: %s daemon %s", refused ? "cuts the watches of and answers 503 to" : "serves again",
+        daemon->name);
+}
+
+bool
+store_is_watched_by (const Daemon *daemon)
+{
+  return store_doors[daemon - daemons].watched_ms != 0;
 }
 
 void
@@ -783,10 +840,13 @@
     {
       store_generation++;
       (void) pthread_cond_broadcast (&store_changed);
-      (void) shutdown (store_listener, SHUT_RDWR);
-      (void) close (store_listener);
+      for (unsigned i = 0; i < store_door_count; i++)
+        {
+          (void) shutdown (store_doors[i].listener, SHUT_RDWR);
+          (void) close (store_doors[i].listener);
+        }
       for (unsigned i = 0; i < store_connection_count; i++)
-        (void) shutdown (store_connections[i], SHUT_RDWR);
+        (void) shutdown (store_connections[i].fd, SHUT_RDWR);
       store_connection_count = 0;
     }
   store_mode = mode;
@@ -803,7 +863,8 @@
   store_era++;
   store_mode = STORE_SERVING;
   pthread_mutex_unlock (&store_lock);
-  open_store ();
+  for (unsigned i = 0; i < store_door_count; i++)
+    open_door (i);
   note ("store: back from the copy, era %u, revision %llu", store_era,
         (unsigned long long) content.head);
 }
@@ -976,7 +1037,8 @@
   (void) snprintf (port, sizeof port, "%u", daemon->peer_port);
   (void) snprintf (front, sizeof front, "%s:%u", daemon->ip, daemon->front_port);
   (void) snprintf (ready, sizeof ready, "%s:%u", daemon->ip, daemon->ready_port);
-  (void) snprintf (store, sizeof store, "%s:%u", store_ip, store_port);
+  (void) snprintf (store, sizeof store, "%s:%u", store_doors[daemon - daemons].ip,
+                   store_doors[daemon - daemons].port);
   while (*template != '\0')
     {
       const char *end = strncmp (template, "{{", 2) == 0 ? strstr (template, "}}") : NULL;
@@ -1042,6 +1104,10 @@
   daemon->peer_port = free_port (daemon->ip);
   (void) snprintf (daemon->settings, sizeof daemon->settings, "%.200s/%s.json", temporary, name);
   (void) snprintf (path, sizeof path, "%.200s/%.48s.log", temporary, name);
+  (void) snprintf (store_doors[daemons_count - 1].ip, sizeof store_doors[0].ip, "127.%u.200.%u",
+                   block, daemons_count);
+  open_door (daemons_count - 1);
+  store_door_count = daemons_count;
   write_settings (daemon);
   daemon->pid = fork ();
   if (daemon->pid < 0)
@@ -1123,6 +1189,25 @@
 
 // Callers.
 
+static struct
+{
+  char id[40];
+  const Daemon *daemon;
+} made_calls[MAX_RUNS];
+static unsigned made_call_count;
+
+unsigned
+answer_count (void)
+{
+  return made_call_count;
+}
+
+const Daemon *
+answered_by (unsigned index, const char *id)
+{
+  return strcmp (made_calls[index].id, id) == 0 ? made_calls[index].daemon : NULL;
+}
+
 Answer
 call (const Daemon *daemon, const char *method, const char *host, const char *path, const char *key,
       const char *body, int deadline_ms)
@@ -1136,6 +1221,13 @@
 
   (void) snprintf (answer.id, sizeof answer.id, "%08x%08x", (unsigned) getpid (),
                    __atomic_add_fetch (&sequence, 1, __ATOMIC_RELAXED));
+  pthread_mutex_lock (&runs_lock);
+  if (made_call_count < MAX_RUNS)
+    {
+      (void) snprintf (made_calls[made_call_count].id, sizeof made_calls[0].id, "%s", answer.id);
+      made_calls[made_call_count++].daemon = daemon;
+    }
+  pthread_mutex_unlock (&runs_lock);
   if (key != NULL)
     (void) snprintf (authorization, sizeof authorization, "Authorization: Bearer %s\r\n", key);
   fd = connect_to (daemon->ip, daemon->front_port, deadline_ms + 1000);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -86,7 +86,6 @@
   bool ran;
 } Run;
 
-/// Calls VISIT for each recorded arrival.
 size_t run_count (void);
 Run run_get (size_t index);
 
@@ -111,6 +110,13 @@
 Daemon *daemon_get (unsigned index);
 bool daemons_run (void);
 
+/// Makes the store cut the watches of one daemon and answer its calls with 503, while it serves the
+/// others.
+void store_refuse (const Daemon *daemon, bool refused);
+/// True if a daemon has waited in a watch of the backend servers: it reads the store for its
+/// failure domain.
+bool store_is_watched_by (const Daemon *daemon);
+
 // Callers.
 typedef struct
 {
@@ -129,3 +135,8 @@
 /// RETURN how many were answered with a success.
 unsigned call_burst (unsigned count, const char *method, const char *host, const char *path,
                      const char *key, const char *body, int deadline_ms);
+
+/// Calls that were made: their number, and the daemon at which the request with an id was sent by
+/// the call INDEX, NULL if that call had another id.
+unsigned answer_count (void);
+const Daemon *answered_by (unsigned index, const char *id);
