review: number the cases by gravity

Cause: a case of part two is graver than two of part one. Change: review/8 becomes review/9, and review/9 becomes review/10. Result: none but the numbers in the files.

--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,24 +1,21 @@
-/// The store turns one daemon away for a moment, the one that reads it for its failure domain. A
-/// backend server that removes its entry after that gets work later than DrainMs from a daemon that
-/// was never turned away.
+/// The store comes back from a copy of some seconds ago. A backend server that leaves 5 s later
+/// gets work for good: its entry has a lower revision than the one that the daemons saw before.
 #include "small.h"
 
 enum
 {
-  CALM_MS = 5000,
-  REFUSED_MS = 150, ///< the pages' largest dose is 9 s (platform_down, nodes)
-  REMOVED_MS = 250, ///< from the end of it to the removal of the entry
-  QUIET_MS = 250,   ///< after DrainMs, until the requests are sent
-  REQUESTS = 12     ///< at each daemon at the same time
+  REPORT_MS = 1200,
+  AWAY_MS = 500,
+  CALM_MS = 5000, ///< after the store's return; StableWindowMs is 3,000
+  REQUESTS = 4,   ///< at each daemon at the same time
 };
 
 int
 main (int argc, char **argv)
 {
   Worker *worker;
-  Daemon *reader;
-  Daemon *follower;
   int64_t ack_ms;
+  uint64_t revision;
   size_t first;
   unsigned broken = 0;
   unsigned elsewhere = 0;
@@ -27,30 +24,42 @@
     return 2;
   rig_open (argv[1], argv[2], "9");
   start_deployment ();
-  worker = worker_start ("i-licence-4", "licence-desk", "pk-central-a", 6, 15);
+  sleep_ms (3000);
+
+  // A backend server is added. It is slow after its start, and its entry says for how much longer.
+  worker = worker_start ("i-licence-4", "licence-desk", "pk-central-b", 6, 15);
+  worker->cold_left_ms = 3 * REPORT_MS;
   (void) worker_register (worker);
-  sleep_ms (CALM_MS);
-  note ("%u of %u requests are served before the disruption",
-        call_burst (REQUESTS, "POST", HOST, "/grant/1", KEY_KEPT, "{}", 600),
-        REQUESTS * daemon_count ());
-  sleep_ms (1000);
+  store_copy ();
+  for (int i = 0; i < 3; i++)
+    {
+      sleep_ms (REPORT_MS);
+      worker->cold_left_ms -= REPORT_MS;
+      revision = worker_register (worker);
+    }
+  note ("backend server %s: no longer slow, entry at revision %llu", worker->id,
+        (unsigned long long) revision);
+  sleep_ms (REPORT_MS);
 
-  // The two daemons of pk-central-a; one of them reads the store for both.
-  reader = store_is_watched_by (daemon_get (0)) ? daemon_get (0) : daemon_get (1);
-  follower = reader == daemon_get (0) ? daemon_get (1) : daemon_get (0);
   if (has_trouble ())
     {
-      store_refuse (reader, true);
-      sleep_ms (REFUSED_MS);
-      store_refuse (reader, false);
+      store_set_mode (STORE_AWAY);
+      sleep_ms (AWAY_MS);
+      store_come_back_from_copy ();
+      (void) put_manifest (7, 0, 1);
+      note ("backend server %s: writes its entry again, at revision %llu", worker->id,
+            (unsigned long long) worker_register (worker));
     }
-  sleep_ms (REMOVED_MS);
-  // It goes on to serve for many seconds, and says in its answers that it leaves.
+  sleep_ms (CALM_MS);
+  note ("%u of %u requests are served before the backend server leaves",
+        call_burst (REQUESTS, "POST", HOST, "/grant/1", KEY_KEPT, "{}", 600),
+        REQUESTS * daemon_count ());
+
   worker->leaving = true;
-  note ("backend server %s: removes its entry, ack at revision %llu", worker->id,
-        (unsigned long long) store_remove ("servers", worker->id));
+  note ("backend server %s: reports that it leaves, ack at revision %llu", worker->id,
+        (unsigned long long) worker_register (worker));
   ack_ms = now_ms ();
-  sleep_until_ms (ack_ms + DRAIN_MS + QUIET_MS);
+  sleep_until_ms (ack_ms + DRAIN_MS + 500);
 
   first = run_count ();
   note ("%u of %u requests are served after it",
@@ -62,14 +71,9 @@
 
       if (run.worker == worker && run.ran)
         {
-          bool by_follower = false;
-
-          for (unsigned k = 0; k < answer_count (); k++)
-            by_follower = by_follower || answered_by (k, run.id) == follower;
-          note ("request %s reached %s %lld ms after the ack, from %s", run.id, worker->id,
-                (long long) (run.at_ms - ack_ms),
-                by_follower ? "the daemon that was served all the while" : "another");
-          broken += by_follower;
+          broken++;
+          note ("request %s reached %s %lld ms after the ack", run.id, worker->id,
+                (long long) (run.at_ms - ack_ms));
         }
       else
         elsewhere++;
@@ -79,8 +83,7 @@
       note ("no request reached another backend server, or a daemon has ended");
       rig_finish (2);
     }
-  note ("%u requests reached the backend server later than %d ms after the ack from %s, which was "
-        "never turned away",
-        broken, DRAIN_MS, follower->name);
+  note ("%u requests reached the leaving backend server later than %d ms after the ack, %u others",
+        broken, DRAIN_MS, elsewhere);
   rig_finish (broken > 0 ? 1 : 0);
 }
