--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -399,8 +399,10 @@
   char ip[32];
   unsigned port;
   int listener;
+  bool silent;        ///< the store loses its answers to this daemon
   bool refused;       ///< the store turns this daemon away
   int64_t watched_ms; ///< when it last began to watch the backend servers for longer; 0 = never
+  int watching;       ///< waiting watches of the backend servers
 } StoreDoor;
 
 static StoreDoor store_doors[MAX_DAEMONS];
@@ -710,11 +712,18 @@
       size_t size;
       StoreMode mode;
       int status;
+      bool waits;
 
-      if (strstr (message->head, "/servers?Watch=") != NULL
-          && strstr (message->head, "WaitMs=20000") != NULL)
-        door->watched_ms = now_ms ();
+      waits = strstr (message->head, "/servers?Watch=") != NULL
+              && strstr (message->head, "WaitMs=20000") != NULL;
+      if (waits)
+        {
+          door->watched_ms = now_ms ();
+          (void) __atomic_add_fetch (&door->watching, 1, __ATOMIC_RELAXED);
+        }
       status = door->refused ? 503 : carry_out (message, generation, &answer);
+      if (waits)
+        (void) __atomic_sub_fetch (&door->watching, 1, __ATOMIC_RELAXED);
       *head_end = '\0';
       pthread_mutex_lock (&store_lock);
       mode = store_mode;
@@ -724,7 +733,7 @@
           break;
         }
       pthread_mutex_unlock (&store_lock);
-      dead = dead || mode == STORE_SILENT;
+      dead = dead || mode == STORE_SILENT || door->silent;
       record ("store: %s -> %d%s", message->head, status, dead ? ", the answer is lost" : "");
       if (dead)
         {
@@ -824,6 +833,19 @@
         daemon->name);
 }
 
+void
+store_silence (const Daemon *daemon, bool silent)
+{
+  store_doors[daemon - daemons].silent = silent;
+  note ("store: %s daemon %s", silent ? "is silent to" : "serves again", daemon->name);
+}
+
+bool
+store_is_watching (const Daemon *daemon)
+{
+  return store_doors[daemon - daemons].watching > 0;
+}
+
 bool
 store_is_watched_by (const Daemon *daemon)
 {
@@ -1089,11 +1111,65 @@
   (void) fclose (out);
 }
 
+/// Starts the program of a daemon. Returns when it has begun to run.
+static void
+start_process (Daemon *daemon)
+{
+  char path[320];
+  int started[2];
+  char byte;
+
+  (void) snprintf (path, sizeof path, "%.200s/%.48s.log", temporary, daemon->name);
+  if (pipe2 (started, O_CLOEXEC) != 0)
+    rig_finish (2);
+  daemon->pid = fork ();
+  if (daemon->pid < 0)
+    rig_finish (2);
+  if (daemon->pid == 0)
+    {
+      int log = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+      (void) prctl (PR_SET_PDEATHSIG, SIGKILL);
+      (void) dup2 (log, STDOUT_FILENO);
+      (void) dup2 (log, STDERR_FILENO);
+      (void) setenv ("TARRAGONTRACK_CONFIG", daemon->settings, 1);
+      (void) execl (program, program, "--settings", daemon->settings, (char *) NULL);
+      _exit (127);
+    }
+  (void) close (started[1]);
+  (void) read (started[0], &byte,
+               1); // ends when the program replaces the child, which closes its end
+  (void) close (started[0]);
+}
+
+void
+daemon_restart (Daemon *daemon)
+{
+  start_process (daemon);
+}
+
+int
+daemon_wait_end (Daemon *daemon, int64_t limit_ms)
+{
+  int64_t until = now_ms () + limit_ms;
+  int status;
+
+  while (now_ms () <= until)
+    {
+      if (waitpid (daemon->pid, &status, WNOHANG) == daemon->pid)
+        {
+          daemon->pid = 0;
+          return status;
+        }
+      sleep_ms (1);
+    }
+  return -1;
+}
+
 Daemon *
 daemon_start (const char *name, const char *zone)
 {
   Daemon *daemon = &daemons[daemons_count++];
-  char path[320];
 
   *daemon = (Daemon){ .pid = 0 };
   (void) snprintf (daemon->name, sizeof daemon->name, "%s", name);
@@ -1103,26 +1179,12 @@
   daemon->ready_port = free_port (daemon->ip);
   daemon->peer_port = free_port (daemon->ip);
   (void) snprintf (daemon->settings, sizeof daemon->settings, "%.200s/%s.json", temporary, name);
-  (void) snprintf (path, sizeof path, "%.200s/%.48s.log", temporary, name);
   (void) snprintf (store_doors[daemons_count - 1].ip, sizeof store_doors[0].ip, "127.%u.200.%u",
                    block, daemons_count);
   open_door (daemons_count - 1);
   store_door_count = daemons_count;
   write_settings (daemon);
-  daemon->pid = fork ();
-  if (daemon->pid < 0)
-    rig_finish (2);
-  if (daemon->pid == 0)
-    {
-      int log = open (path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-
-      (void) prctl (PR_SET_PDEATHSIG, SIGKILL);
-      (void) dup2 (log, STDOUT_FILENO);
-      (void) dup2 (log, STDERR_FILENO);
-      (void) setenv ("TARRAGONTRACK_CONFIG", daemon->settings, 1);
-      (void) execl (program, program, "--settings", daemon->settings, (char *) NULL);
-      _exit (127);
-    }
+  start_process (daemon);
   note ("daemon %s in %s at %s:%u, process %d", name, zone, daemon->ip, daemon->front_port,
         daemon->pid);
   return daemon;
@@ -1160,7 +1222,7 @@
 daemons_run (void)
 {
   for (unsigned i = 0; i < daemons_count; i++)
-    if (waitpid (daemons[i].pid, NULL, WNOHANG) != 0)
+    if (daemons[i].pid == 0 || waitpid (daemons[i].pid, NULL, WNOHANG) != 0)
       {
         note ("daemon %s has ended", daemons[i].name);
         daemons[i].pid = 0;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -8,7 +8,7 @@
 
 enum
 {
-  MAX_DAEMONS = 8,
+  MAX_DAEMONS = 12,
   MAX_WORKERS = 16,
   MAX_RUNS = 20000,
   MAX_SPEC = 8192
@@ -103,6 +103,11 @@
 } Daemon;
 
 Daemon *daemon_start (const char *name, const char *zone);
+/// Starts the program of a daemon again, after its process has ended.
+void daemon_restart (Daemon *daemon);
+/// Waits until a daemon's process ends. RETURN its status as of waitpid(), -1 if it still runs
+/// after LIMIT_MS.
+int daemon_wait_end (Daemon *daemon, int64_t limit_ms);
 bool daemon_is_ready (const Daemon *daemon);
 /// Waits until all daemons are ready; ends the case with 2 if they are not within LIMIT_MS.
 void daemons_await_ready (int64_t limit_ms);
@@ -113,9 +118,14 @@
 /// Makes the store cut the watches of one daemon and answer its calls with 503, while it serves the
 /// others.
 void store_refuse (const Daemon *daemon, bool refused);
+/// Makes the store silent to one daemon, while it serves the others: it loses the answers to its
+/// calls, and their connections return nothing further.
+void store_silence (const Daemon *daemon, bool silent);
 /// True if a daemon has waited in a watch of the backend servers: it reads the store for its
 /// failure domain.
 bool store_is_watched_by (const Daemon *daemon);
+/// True if a daemon waits in a watch of the backend servers now.
+bool store_is_watching (const Daemon *daemon);
 
 // Callers.
 typedef struct
--- a/review/rig-2/small.c
+++ b/review/rig-2/small.c
@@ -33,14 +33,10 @@
   return store_put ("config", "main", text);
 }
 
-void
-start_deployment (void)
+static void
+start_store_and_workers (void)
 {
   static const char *const zones[] = { "pk-central-a", "pk-central-b", "pk-central-c" };
-  static const char *const names[] = { "edge-pk-central-a-1", "edge-pk-central-a-2",
-                                       "edge-pk-central-b-1", "edge-pk-central-c-1" };
-  static const char *const places[]
-      = { "pk-central-a", "pk-central-a", "pk-central-b", "pk-central-c" };
 
   store_start ();
   (void) put_manifest (7, 0, 1);
@@ -51,7 +47,31 @@
       (void) snprintf (id, sizeof id, "i-licence-%d", i + 1);
       (void) worker_register (worker_start (id, "licence-desk", zones[i], 6, 15));
     }
-  for (int i = 0; i < 4; i++)
-    (void) daemon_start (names[i], places[i]);
+}
+
+void
+start_deployment (void)
+{
+  start_store_and_workers ();
+  (void) daemon_start ("edge-pk-central-a-1", "pk-central-a");
+  (void) daemon_start ("edge-pk-central-a-2", "pk-central-a");
+  (void) daemon_start ("edge-pk-central-b-1", "pk-central-b");
+  (void) daemon_start ("edge-pk-central-c-1", "pk-central-c");
+  daemons_await_ready (8000);
+}
+
+void
+start_larger_deployment (void)
+{
+  start_store_and_workers ();
+  for (char zone = 'a'; zone <= 'c'; zone++)
+    for (int i = 1; i <= 3; i++)
+      {
+        char name[40], place[32];
+
+        (void) snprintf (place, sizeof place, "pk-central-%c", zone);
+        (void) snprintf (name, sizeof name, "edge-%s-%d", place, i);
+        (void) daemon_start (name, place);
+      }
   daemons_await_ready (8000);
 }
--- a/review/rig-2/small.h
+++ b/review/rig-2/small.h
@@ -19,3 +19,6 @@
 /// Starts store, backend servers licence-1 to licence-3 and the daemons, and waits until they are
 /// ready.
 void start_deployment (void);
+
+/// The same with three daemons in each of the three zones.
+void start_larger_deployment (void);
