--- a/review/7/case.c
+++ b/review/7/case.c
@@ -7,9 +7,9 @@
 {
   CALM_MS = 2000,        ///< from the daemons' readiness to the disruption
   SILENT_MS = 3000,      ///< the pages' largest dose is 4.5 s
-  AFTER_MS = 3500,       ///< from the store's return to the next version; StableWindowMs is 3,000
-  FIRST_PROBE_MS = 2200, ///< after its ack; ConfigMs is 2,000
-  PROBES = 8
+  AFTER_MS = 4500,       ///< from the store's return to the next version; StableWindowMs is 4,000
+  FIRST_PROBE_MS = 3200, ///< after its ack; ConfigMs is 3,000
+  PROBES = 6
 };
 
 int
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -7,7 +7,7 @@
   CALM_MS = 22000,      ///< until the watches that other daemons began at their start have ended
   SILENT_MS = 8000,     ///< the pages' largest dose is 9 s
   WRITE_MS = 500,       ///< from its beginning to the next version
-  FIRST_PROBE_MS = 2200 ///< after its ack; ConfigMs is 2,000
+  FIRST_PROBE_MS = 3200 ///< after its ack; ConfigMs is 3,000
 };
 
 int
--- a/review/9/case.c
+++ b/review/9/case.c
@@ -6,7 +6,7 @@
 {
   REPORT_MS = 1200,
   AWAY_MS = 500,
-  CALM_MS = 5000, ///< after the store's return; StableWindowMs is 3,000
+  CALM_MS = 5000, ///< after the store's return; StableWindowMs is 4,000
   REQUESTS = 4,   ///< at each daemon at the same time
 };
 
--- a/review/rig-2/small.h
+++ b/review/rig-2/small.h
@@ -1,5 +1,5 @@
-/// A small deployment after the sheet of raagmala-sync: 4 daemons in 3 zones, one plain service of
-/// 3 backend servers, two keys of one tenant.
+/// A small deployment with the bounds of raagmala-sync-grown: 4 daemons in 3 zones, one plain
+/// service of 3 backend servers, two keys of one tenant.
 #pragma once
 
 #include "rig.h"
@@ -7,10 +7,9 @@
 #define HOST "desk.example"
 #define KEY_KEPT "keyaaaaaaaaaaaaaaaaa"
 #define KEY_TAKEN "keybbbbbbbbbbbbbbbbb"
-#define CONFIG_MS 2000
-#define DRAIN_MS 2000
-#define OUTER_MS 5000
-#define STABLE_MS 3000
+#define CONFIG_MS 3000
+#define DRAIN_MS 3000
+#define STABLE_MS 4000
 
 /// Writes the manifest. Both keys are in it, or only the first one. ROUTES: number of idle routes
 /// beside /grant/. RETURN its revision in the store; 0 if the store is away.
