--- a/src/tarragontrack/board/board_defs.h
+++ b/src/tarragontrack/board/board_defs.h
@@ -9,6 +9,7 @@
 #include "tarragontrack/board/counter_defs.h"
 #include "tarragontrack/board/drain_defs.h"
 #include "tarragontrack/board/event_defs.h"
+#include "tarragontrack/board/evidence_defs.h"
 #include "tarragontrack/board/fleet_defs.h"
 #include "tarragontrack/board/intake_defs.h"
 #include "tarragontrack/board/lease_defs.h"
@@ -109,6 +110,7 @@
   TtOrderSection order;
   TtDrainSection drain;
   TtIntakeSection intake;
+  TtEvidenceSection evidence;
   TtFeedSection feed;
   TtRouteSection routes;
   TtNoticeSection notice;
--- a/src/tarragontrack/board/bounds_defs.h
+++ b/src/tarragontrack/board/bounds_defs.h
@@ -16,4 +16,6 @@
   uint32_t settle_ms;        ///< time after a disruption within which the bounds above hold again
   uint32_t report_ms;        ///< interval of a backend server's reports to the platform
   uint32_t leaving_ms; ///< time for which a backend server still serves after announcing shutdown
+  uint32_t config_ms;  ///< time within which an accepted configuration must be in force; 0 = as
+                       ///< leaving_ms
 } TtBounds;
--- a/src/tarragontrack/board/counter_defs.h
+++ b/src/tarragontrack/board/counter_defs.h
@@ -41,6 +41,11 @@
   X (CLAIM_WRITES, "tarragontrack_claim_writes_total", "conditional updates of claim shards")      \
   X (PLATFORM_CALLS, "tarragontrack_platform_calls_total", "calls to the platform")                \
   X (PLATFORM_ERRORS, "tarragontrack_platform_errors_total", "platform calls without an answer")   \
+  X (STORE_ERAS, "tarragontrack_store_eras_total", "returns of the platform's store from a copy")  \
+  X (WATCHES_LOST, "tarragontrack_store_watches_lost_total",                                       \
+     "watches that did not deliver what another call showed")                                      \
+  X (ANSWERS_DISCARDED, "tarragontrack_store_answers_discarded_total",                             \
+     "answers of the platform's store from an earlier era or to a call that was given up")         \
   X (PEER_SENT, "tarragontrack_peer_messages_sent_total", "messages sent to daemons")              \
   X (PEER_SENT_BYTES, "tarragontrack_peer_bytes_sent_total", "bytes sent to daemons")              \
   X (PEER_RECEIVED, "tarragontrack_peer_messages_received_total", "messages from daemons")         \
--- a/src/tarragontrack/board/event_defs.h
+++ b/src/tarragontrack/board/event_defs.h
@@ -83,6 +83,7 @@
                            ///< TT_E_UNAVAILABLE (no effect), TT_E_MALFORMED, TT_E_CRASHED (a
                            ///< read whose connection the platform closed without a response)
   uint64_t version;        ///< current version of the object; 0 = absent
+  uint64_t era;            ///< of the store, if it answered the call or no longer has the revision
   bool unchanged;          ///< WATCH and HOSTS: the version equals the one in the call
   const TtObject *object;  ///< valid during the step; NULL if absent or unchanged
   TtStoreEntries *entries; ///< LIST, WATCH_ENTRIES, PEER: valid during the step; NULL if none
--- a/src/tarragontrack/board/fleet_defs.h
+++ b/src/tarragontrack/board/fleet_defs.h
@@ -1,6 +1,7 @@
 /// State of `fleet`: the other daemons and the last status that each of them sent.
 #pragma once
 
+#include "tarragontrack/board/evidence_defs.h"
 #include "tarragontrack/board/limits_defs.h"
 #include "tarragontrack/board/list.h"
 #include "tarragontrack/board/notice_defs.h"
@@ -47,10 +48,11 @@
   char address[TT_ADDRESS_MAX];
   uint16_t port;
   uint64_t table_version;
-  uint64_t servers_revision; ///< store revision of the sender's list of backend servers
-  uint64_t domain_id;        ///< failure domain of the sender; 0 = not stated by an older version
-  bool reads_store;          ///< the sender watches the store and its calls succeed
-  uint64_t change_revision;  ///< revision of the last change of backend servers that it knows
+  TtStorePoint servers; ///< sender's list of backend servers
+  uint64_t domain_id;   ///< failure domain of the sender; 0 = not stated by an older version
+  bool reads_store;     ///< the sender watches the store and its calls succeed
+  TtStorePoint change;  ///< last change of backend servers that it knows; of the same era
+  TtConfirmation confirmation;
   uint32_t load_count;
   TtStatusLoad loads[TT_MAX_STATUS_LOADS];
   uint32_t prefix_holder_count;
@@ -70,7 +72,8 @@
 {
   uint64_t domain_id; ///< failure domain of the sender
   uint64_t table_version;
-  uint64_t change_revision; ///< as in TtDaemonStatus
+  TtStorePoint change; ///< as in TtDaemonStatus
+  TtConfirmation confirmation;
   uint32_t load_count;
   TtStatusLoad loads[TT_MAX_STATUS_LOADS];
   uint32_t prefix_holder_count;
@@ -88,10 +91,10 @@
   bool alive;             ///< a status message arrived within the liveness timeout
   int64_t last_status_us; ///< arrival of the last status message; 0 = none arrived
   uint64_t table_version;
-  uint64_t servers_revision;
+  TtStorePoint servers;
   uint64_t domain_id; ///< failure domain; 0 = unknown
   bool reads_store;   ///< as in the last status message
-  uint64_t change_revision;
+  TtStorePoint change;
   TtLoadReport report; ///< from the last status message
   TtLoadReport *sums;  ///< of its failure domain, if it is the collector of another one; or NULL
   int64_t sums_us;     ///< arrival of the last sums; 0 = none arrived
@@ -128,7 +131,7 @@
   int64_t next_advertise_us; ///< earliest time of such a message
   int64_t next_loads_us;     ///< next report to the collector, or next sums of the collector
   TtLoadsMode loads_mode;
-  uint64_t counted_revision;  ///< revision of the list of backend servers when loads were added up
+  TtStorePoint counted;       ///< list of backend servers when loads were added up
   TtLoadReport rest;          ///< sums over all other daemons, from the collector
   int64_t rest_us;            ///< arrival of those sums; 0 = none arrived
   int64_t next_copy_check_us; ///< next comparison of versions with the other daemons
--- a/src/tarragontrack/board/logevent_defs.h
+++ b/src/tarragontrack/board/logevent_defs.h
@@ -59,6 +59,7 @@
   X (BACKEND_SAID_LEAVING, 4011, INFO)                                                             \
   X (BACKEND_UNAVAILABLE, 4012, INFO)                                                              \
   X (ANSWER_UNKNOWN_FORM, 4013, WARN)                                                              \
+  X (BACKEND_MISSING, 4014, INFO)                                                                  \
   X (ORDER_SENT, 4101, INFO)                                                                       \
   X (ORDER_REFUSED, 4102, WARN)                                                                    \
   X (ORDER_CONFIRMED, 4103, INFO)                                                                  \
@@ -66,6 +67,9 @@
   X (PLATFORM_BACK, 5002, INFO)                                                                    \
   X (READER_STARTED, 5003, INFO)                                                                   \
   X (READER_STOPPED, 5004, INFO)                                                                   \
+  X (STORE_ERA, 5005, WARN)                                                                        \
+  X (WATCH_LOST, 5006, WARN)                                                                       \
+  X (ANSWER_DISCARDED, 5007, INFO)                                                                 \
   X (LEASE_ACQUIRED, 5101, INFO)                                                                   \
   X (LEASE_LOST, 5102, WARN)                                                                       \
   X (CLAIM_UNCERTAIN, 5201, WARN)                                                                  \
--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -62,8 +62,11 @@
   bool is_first_page;         ///< first page of a list
   bool has_more;              ///< further pages follow
   const char *continue_after; ///< continuation token: the name of the last entry; NULL = none
+  uint64_t era;               ///< of `revision`, `base_revision` and the entries' revisions
   uint64_t revision;          ///< of the store; the next watch call starts here
   bool from_peer;             ///< another daemon sent the entries, not the store
+  bool discarded; ///< set by `feed`: the response is not to the current call of its kind, or
+                  ///< of another era
   uint64_t base_revision; ///< changes sent by a daemon: revision of the list to which they apply
   uint32_t
       lapse_ms; ///< sent by a daemon: time for which entries may be missing because of an outage
@@ -72,19 +75,21 @@
 /// State of listing and watching the entries of one kind.
 typedef struct
 {
-  uint64_t revision;       ///< changes up to here were received; 0 = the kind has to be listed
-  char *continue_after;    ///< continuation token of the pages received so far; NULL = first page
-  bool list_requested;     ///< the kind is to be listed once, see tt_feed_request_list()
-  uint64_t call_id;        ///< id of the call in flight; 0 = none
-  int64_t call_started_us; ///< when that call was started
-  int64_t next_call_us;    ///< earliest start of the next call
-  int64_t responded_us;    ///< arrival of the last response; 0 = none
-  uint32_t failures;       ///< consecutive failed calls
+  uint64_t revision;        ///< changes up to here were received; 0 = the kind has to be listed
+  char *continue_after;     ///< continuation token of the pages received so far; NULL = first page
+  bool list_requested;      ///< the kind is to be listed once, see tt_feed_request_list()
+  uint64_t call_id;         ///< id of the call in flight; 0 = none
+  int64_t call_started_us;  ///< when that call was started
+  bool watch_waits;         ///< that call is a watch that waits for a change
+  int64_t next_call_us;     ///< earliest start of the next call
+  uint64_t confirm_call_id; ///< call in flight that confirms the copy beside a watch; 0 = none
+  int64_t confirm_started_us;  ///< when that call was started
+  int64_t next_confirm_us;     ///< earliest start of the next such call
+  int64_t confirmed_us;        ///< the copy is known to have been complete at this time
+  int64_t responded_us;        ///< arrival of the last response; 0 = none
+  uint32_t failures;           ///< consecutive failed calls
   uint32_t unreadable_answers; ///< since the last readable watch
   int64_t failing_since_us;    ///< when calls began to fail; 0 = the last call succeeded
-  bool cuts_only;              ///< since then, calls only failed by closed connections
-  int64_t last_failure_us;     ///< start of the last failed call, or when a waiting watch was cut
-  int64_t last_failed_call_us; ///< start of the last call that failed in an outage; 0 = none
 } TtFeedStream;
 
 typedef struct
--- a/src/tarragontrack/codec/peer.c
+++ b/src/tarragontrack/codec/peer.c
@@ -257,14 +257,31 @@
   return list.count;
 }
 
+static TtConfirmation
+decode_confirmation (TtPeerFieldCursor *body, uint64_t table_version)
+{
+  TtConfirmation confirmation = { .table_version = table_version };
+
+  confirmation.servers.era = tt_peer_fields_next_revision (body);
+  confirmation.servers.revision = tt_peer_fields_next_revision (body);
+  confirmation.ms_ago = tt_peer_fields_next_u32 (body, TT_NEVER_CONFIRMED);
+  confirmation.served_ms = tt_peer_fields_next_u32 (body, UINT32_MAX);
+  return confirmation;
+}
+
 static void
 decode_sums (TtPeerFieldCursor *body, TtLoadSums *sums)
 {
   sums->domain_id = tt_peer_fields_next_u64 (body);
   sums->table_version = tt_peer_fields_next_u64 (body);
-  sums->change_revision = tt_peer_fields_next_u64 (body);
+  sums->change.revision = tt_peer_fields_next_u64 (body);
   sums->load_count = decode_status_loads (body, sums->loads);
   sums->prefix_holder_count = decode_holders (body, sums->prefix_holders);
+  sums->confirmation.ms_ago = TT_NEVER_CONFIRMED;
+  if (!tt_peer_fields_has_next (body))
+    return; // sent by an older version
+  sums->change.era = tt_peer_fields_next_revision (body);
+  sums->confirmation = decode_confirmation (body, sums->table_version);
 }
 
 static void
@@ -274,19 +291,24 @@
   tt_peer_fields_next_address (body, status->address);
   status->port = (uint16_t) tt_peer_fields_next_u32 (body, UINT16_MAX);
   status->table_version = tt_peer_fields_next_u64 (body);
-  status->servers_revision = tt_peer_fields_next_u64 (body);
+  status->servers.revision = tt_peer_fields_next_u64 (body);
   status->load_count = decode_status_loads (body, status->loads);
   status->prefix_holder_count = decode_holders (body, status->prefix_holders);
   decode_suspects (body, status->suspects, &status->suspect_count);
+  status->confirmation.ms_ago = TT_NEVER_CONFIRMED;
   if (!tt_peer_fields_has_next (body))
     return; // sent by an older version
   status->domain_id = tt_peer_fields_next_u64 (body);
   status->reads_store = tt_peer_fields_next_u32 (body, 1) != 0;
-  status->change_revision = tt_peer_fields_next_u64 (body);
+  status->change.revision = tt_peer_fields_next_u64 (body);
   if (tt_peer_fields_has_next (body))
     status->notice_count = decode_notices (body, status->notices);
   if (tt_peer_fields_has_next (body))
     status->part_count = decode_parts (body, status->parts);
+  if (!tt_peer_fields_has_next (body))
+    return;
+  status->servers.era = status->change.era = tt_peer_fields_next_revision (body);
+  status->confirmation = decode_confirmation (body, status->table_version);
 }
 
 /// Decodes a routing table. TtPeerTable.text points into the bytes of the message.
@@ -361,6 +383,8 @@
       servers->base_revision = tt_peer_fields_next_revision (body);
       servers->lapse_ms = tt_peer_fields_next_u32 (body, UINT32_MAX);
     }
+  if (tt_peer_fields_has_next (body))
+    servers->era = tt_peer_fields_next_revision (body);
   servers->entries = decoder->servers;
   servers->count = list.count;
 }
--- a/src/tarragontrack/codec/peer_encode.c
+++ b/src/tarragontrack/codec/peer_encode.c
@@ -220,40 +220,54 @@
     }
 }
 
+/// Packs the point and the age of a confirmation. The routing table is that of the message.
+static void
+pack_confirmation (msgpack_packer *packer, const TtConfirmation *confirmation)
+{
+  (void) msgpack_pack_uint64 (packer, confirmation->servers.era);
+  (void) msgpack_pack_uint64 (packer, confirmation->servers.revision);
+  (void) msgpack_pack_uint32 (packer, confirmation->ms_ago);
+  (void) msgpack_pack_uint32 (packer, confirmation->served_ms);
+}
+
 static void
 pack_sums (msgpack_packer *packer, const TtLoadSums *sums)
 {
-  (void) msgpack_pack_array (packer, 5);
+  (void) msgpack_pack_array (packer, 10);
   (void) msgpack_pack_uint64 (packer, sums->domain_id);
   (void) msgpack_pack_uint64 (packer, sums->table_version);
-  (void) msgpack_pack_uint64 (packer, sums->change_revision);
+  (void) msgpack_pack_uint64 (packer, sums->change.revision);
   pack_status_loads (packer, sums->loads, sums->load_count);
   pack_holders (packer, sums->prefix_holders, sums->prefix_holder_count);
+  (void) msgpack_pack_uint64 (packer, sums->change.era);
+  pack_confirmation (packer, &sums->confirmation);
 }
 
 static void
 pack_status (msgpack_packer *packer, const TtDaemonStatus *status)
 {
-  (void) msgpack_pack_array (packer, 13);
+  (void) msgpack_pack_array (packer, 18);
   pack_string (packer, status->name);
   pack_address (packer, status->address);
   (void) msgpack_pack_uint16 (packer, status->port);
   (void) msgpack_pack_uint64 (packer, status->table_version);
-  (void) msgpack_pack_uint64 (packer, status->servers_revision);
+  (void) msgpack_pack_uint64 (packer, status->servers.revision);
   pack_status_loads (packer, status->loads, status->load_count);
   pack_holders (packer, status->prefix_holders, status->prefix_holder_count);
   pack_suspects (packer, status->suspects, status->suspect_count);
   (void) msgpack_pack_uint64 (packer, status->domain_id);
   (void) msgpack_pack_uint32 (packer, status->reads_store ? 1 : 0);
-  (void) msgpack_pack_uint64 (packer, status->change_revision);
+  (void) msgpack_pack_uint64 (packer, status->change.revision);
   pack_notices (packer, status->notices, status->notice_count);
   pack_parts (packer, status->parts, status->part_count);
+  (void) msgpack_pack_uint64 (packer, status->servers.era);
+  pack_confirmation (packer, &status->confirmation);
 }
 
 static void
 pack_servers (msgpack_packer *packer, const TtStoreEntries *servers)
 {
-  (void) msgpack_pack_array (packer, 4);
+  (void) msgpack_pack_array (packer, 5);
   (void) msgpack_pack_uint64 (packer, servers->revision);
   (void) msgpack_pack_array (packer, servers->count);
   for (uint32_t i = 0; i < servers->count; i++)
@@ -276,6 +290,7 @@
     }
   (void) msgpack_pack_uint64 (packer, servers->base_revision);
   (void) msgpack_pack_uint32 (packer, servers->lapse_ms);
+  (void) msgpack_pack_uint64 (packer, servers->era);
 }
 
 static int
--- a/src/tarragontrack/codec/settings.c
+++ b/src/tarragontrack/codec/settings.c
@@ -83,6 +83,8 @@
     .maximum = MAX_TIMEOUT_MS, .default_value = 1000, .unit = "ms" },
   { "leaving_ms", TT_JSON_DURATION, FIELD (bounds.leaving_ms), .minimum = 100,
     .maximum = MAX_TIMEOUT_MS, .default_value = 2000, .unit = "ms" },
+  { "config_ms", TT_JSON_DURATION, FIELD (bounds.config_ms), .maximum = MAX_TIMEOUT_MS,
+    .unit = "ms" },
 };
 
 static const TtJsonField curve_fields[] = {
--- a/src/tarragontrack/control/dispatch.c
+++ b/src/tarragontrack/control/dispatch.c
@@ -381,7 +381,7 @@
                     : -1LL,
                 (unsigned long long) request->spec.prefix_key, request->spec.shared_tokens,
                 (unsigned long long) request->route.table_version,
-                (unsigned long long) board->registry.revision);
+                (unsigned long long) board->registry.point.revision);
   return true;
 }
 
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -1,6 +1,9 @@
 #include "tarragontrack/control/feed.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/evidence.h"
+#include "tarragontrack/control/fleet.h"
+#include "tarragontrack/control/own_entry.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,9 +23,6 @@
 /// for a slow response of the store, or for a failed call and its retry.
 #define BATCH_LEAVING_DIVISOR 3
 
-/// Delay before a failed write of this daemon's entry is retried.
-#define OWN_ENTRY_RETRY_US TT_SECOND_US
-
 /// The loss of the store is logged after the calls of one kind have failed for this time.
 #define STORE_LOST_AFTER_US (500 * TT_MILLISECOND_US)
 
@@ -54,6 +54,7 @@
   stream->revision = 0;
   set_continue_after (stream, NULL);
   stream->call_id = 0;
+  stream->confirm_call_id = 0;
   stream->list_requested = false;
   stream->next_call_us = now_us;
 }
@@ -75,10 +76,9 @@
     set_continue_after (&board->feed.streams[kind], NULL);
 }
 
-/// Queues a store call for one kind.
-static uint64_t
-call_store (TtBoard *board, TtPlatformOp op, TtStoreKind kind, const TtFeedStream *stream,
-            int64_t now_us)
+uint64_t
+tt_feed_call_store (TtBoard *board, TtPlatformOp op, TtStoreKind kind, const TtFeedStream *stream,
+                    bool waits)
 {
   TtAction *action = tt_board_append_action (board, TT_ACTION_PLATFORM_CALL);
 
@@ -92,10 +92,7 @@
   if (stream != NULL)
     {
       action->platform.version = stream->revision;
-      // A watch waits only if it begins right after a response. The store may have fallen silent
-      // since an older one: it would never respond to the watch, and its end would not show.
-      action->platform.answers_at_once
-          = stream->failing_since_us != 0 || now_us - stream->responded_us >= TT_TICK_INTERVAL_US;
+      action->platform.answers_at_once = !waits;
       action->platform.continue_after = stream->continue_after;
     }
   return action->platform.call_id;
@@ -116,7 +113,7 @@
     tt_board_log (
         board, TT_LOG_PLATFORM_LOST, "table=%llu servers_revision=%llu",
         (unsigned long long) (board->routes.table != NULL ? board->routes.table->version : 0),
-        (unsigned long long) board->registry.revision);
+        (unsigned long long) board->registry.point.revision);
   else if (!lost && section->loss_logged)
     {
       for (int kind = 0; kind < TT_STORE_KINDS; kind++)
@@ -127,52 +124,67 @@
   section->loss_logged = lost;
 }
 
-bool
-tt_feed_is_outage (const TtBoard *board, const TtFeedStream *stream, int64_t now_us)
+/// Records a failed call of a kind. @started_us: start of the call, or, if a waiting watch was cut,
+/// the present time. @cut: the store closed the connection without a response.
+static void
+record_failure (TtBoard *board, TtFeedStream *stream, int64_t started_us, bool cut, int64_t now_us)
+{
+  tt_board_counter_add (board, TT_COUNT_PLATFORM_ERRORS, 1);
+  tt_evidence_add_failure (board, started_us, cut, now_us);
+  stream->failures++;
+  if (stream->failing_since_us == 0)
+    stream->failing_since_us = now_us;
+}
+
+/// Delay before a failed call is repeated, with jitter over half of it, so that the daemons do not
+/// all repeat it at the same time.
+static int64_t
+backoff_us (TtBoard *board, uint32_t failures)
 {
-  int64_t report_us = board->config.bounds.report_ms * TT_MILLISECOND_US;
+  uint32_t doublings = failures < MAX_BACKOFF_DOUBLINGS ? failures : MAX_BACKOFF_DOUBLINGS;
+  int64_t delay_us = INITIAL_BACKOFF_US << doublings;
 
-  return stream->failing_since_us != 0
-         && (!stream->cuts_only || now_us - stream->failing_since_us >= report_us);
+  if (delay_us > MAX_BACKOFF_US)
+    delay_us = MAX_BACKOFF_US;
+  return delay_us / 2 + (int64_t) tt_rng_below (&board->rng, (uint64_t) delay_us / 2 + 1);
 }
 
-/// Records a failed call. @cut: the store closed the connection without a response.
+/// Starts the watches of all kinds again after calls have failed: one that waits may have been lost
+/// in the same outage.
 static void
-record_failure (TtFeedStream *stream, bool cut, int64_t now_us)
+renew_watches (TtBoard *board, int64_t now_us)
 {
-  bool first = stream->failing_since_us == 0;
-
-  stream->failures++;
-  if (first)
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
     {
-      stream->failing_since_us = now_us;
-      stream->cuts_only = true;
+      TtFeedStream *stream = &board->feed.streams[kind];
+
+      if (stream->call_id == 0 || !stream->watch_waits)
+        continue;
+      stream->call_id = 0;
+      stream->next_call_us = now_us;
     }
-  stream->cuts_only = stream->cuts_only && cut;
-  // A watch that is cut was waiting at a store that served.
-  stream->last_failure_us = first && cut ? now_us : stream->call_started_us;
-  if (!stream->cuts_only)
-    stream->last_failed_call_us = stream->last_failure_us;
 }
 
-/// Ends a series of failed calls.
+/// Records the answer to a call of a kind that began at @started_us.
 static void
-record_success (const TtBoard *board, TtFeedStream *stream, int64_t now_us)
+record_success (TtBoard *board, TtFeedStream *stream, int64_t started_us, int64_t now_us)
 {
-  if (tt_feed_is_outage (board, stream, now_us))
-    stream->last_failed_call_us = stream->last_failure_us;
+  bool failed = stream->failing_since_us != 0;
+
+  tt_evidence_add_answer (board, started_us);
   stream->failures = 0;
   stream->failing_since_us = 0;
   stream->responded_us = now_us;
+  if (failed)
+    renew_watches (board, now_us);
 }
 
 static void
 handle_call_failure (TtBoard *board, TtFeedStream *stream, int code, int64_t now_us)
 {
-  uint32_t failures = stream->failures > stream->unreadable_answers ? stream->failures
-                                                                    : stream->unreadable_answers;
-  uint32_t doublings = failures < MAX_BACKOFF_DOUBLINGS ? failures : MAX_BACKOFF_DOUBLINGS;
-  int64_t backoff_us = INITIAL_BACKOFF_US << doublings;
+  bool cut = code == TT_E_CRASHED;
+  // A watch that is cut was waiting at a store that served.
+  int64_t started_us = cut && stream->failing_since_us == 0 ? now_us : stream->call_started_us;
 
   stream->call_id = 0;
   if (code == TT_E_STALE)
@@ -188,13 +200,11 @@
       stream->unreadable_answers++;
       tt_feed_relist (stream, now_us);
     }
-  tt_board_counter_add (board, TT_COUNT_PLATFORM_ERRORS, 1);
-  record_failure (stream, code == TT_E_CRASHED, now_us);
-  if (backoff_us > MAX_BACKOFF_US)
-    backoff_us = MAX_BACKOFF_US;
-  // Jitter over half the delay, so that the daemons do not all retry at the same time.
-  stream->next_call_us = now_us + backoff_us / 2
-                         + (int64_t) tt_rng_below (&board->rng, (uint64_t) backoff_us / 2 + 1);
+  record_failure (board, stream, started_us, cut, now_us);
+  stream->next_call_us = now_us
+                         + backoff_us (board, stream->failures > stream->unreadable_answers
+                                                  ? stream->failures
+                                                  : stream->unreadable_answers);
 }
 
 /// Delay after changes of a kind before the next watch call. Entries change in groups, and every
@@ -208,8 +218,24 @@
              : 0;
 }
 
+/// Records that the copy of a kind was complete at @started_us, when a call began whose answer has
+/// the store's @revision. If nothing has changed since the answers of another kind, its copy was
+/// complete, too.
 static void
-handle_call_result (const TtBoard *board, TtFeedStream *stream, const TtStoreEntries *entries,
+confirm_copies (TtBoard *board, TtFeedStream *stream, uint64_t revision, int64_t started_us)
+{
+  stream->revision = revision;
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+    {
+      TtFeedStream *other = &board->feed.streams[kind];
+
+      if (other->revision >= revision && started_us > other->confirmed_us)
+        other->confirmed_us = started_us;
+    }
+}
+
+static void
+handle_call_result (TtBoard *board, TtFeedStream *stream, const TtStoreEntries *entries,
                     int64_t now_us)
 {
   stream->call_id = 0;
@@ -218,7 +244,8 @@
     stream->next_call_us += batch_delay_us (board, entries->kind);
   if (!entries->is_list)
     stream->unreadable_answers = 0;
-  record_success (board, stream, now_us);
+  // A watch that has waited shows that the store serves when it ends, not when it began.
+  record_success (board, stream, stream->watch_waits ? now_us : stream->call_started_us, now_us);
   if (entries->is_list && entries->has_more)
     {
       set_continue_after (stream, entries->continue_after);
@@ -226,30 +253,50 @@
     }
   set_continue_after (stream, NULL);
   stream->list_requested = false;
-  stream->revision = entries->revision;
+  if (stream->watch_waits)
+    stream->revision = entries->revision;
+  else
+    confirm_copies (board, stream, entries->revision, stream->call_started_us);
 }
 
-/// Handles the store's response to a write of this daemon's entry.
+/// Handles the answer to a call that confirms a copy beside a waiting watch.
 static void
-handle_own_write (TtFeedSection *section, int code, int64_t now_us)
+handle_confirm_result (TtBoard *board, TtFeedStream *stream, const TtPlatformEvent *event, int code,
+                       int64_t now_us)
 {
-  TtFeedStream *daemons = &section->streams[TT_STORE_DAEMONS];
-
-  section->own_write_call_id = 0;
-  section->own_write_next_us = now_us + OWN_ENTRY_RETRY_US;
-  section->own_entry_current = code == TT_OK;
-  if (code == TT_E_CONFLICT)
-    section->own_entry_exists = true;
-  if (code == TT_E_NOT_FOUND)
-    section->own_entry_exists = false;
-  if (code == TT_E_CONFLICT || code == TT_E_NOT_FOUND)
-    section->own_write_next_us = now_us;
-  // The daemons are listed again after the entry was written. Of two daemons that start together,
-  // at least one then lists the other, which it tells its own address by a status message.
-  if (code == TT_OK)
+  const TtStoreEntries *entries = event->entries;
+  uint64_t watch_revision;
+
+  stream->confirm_call_id = 0;
+  if (code == TT_E_STALE || code == TT_E_MALFORMED)
+    tt_feed_relist (stream, now_us);
+  if (code != TT_OK || entries == NULL)
     {
-      daemons->revision = 0;
-      daemons->next_call_us = now_us;
+      if (code == TT_E_STALE)
+        return;
+      record_failure (board, stream, stream->confirm_started_us, code == TT_E_CRASHED, now_us);
+      stream->next_confirm_us = now_us + backoff_us (board, stream->failures);
+    }
+  else
+    {
+      record_success (board, stream, stream->confirm_started_us, now_us);
+      watch_revision = stream->revision;
+      confirm_copies (board, stream, entries->revision, stream->confirm_started_us);
+      if (entries->count == 0)
+        {
+          if (tt_evidence_confirms_first (board))
+            tt_fleet_send_status_to_readers (board, now_us);
+          return;
+        }
+      // The watch would have delivered this, so its answers are lost.
+      tt_board_counter_add (board, TT_COUNT_WATCHES_LOST, 1);
+      tt_board_log (board, TT_LOG_WATCH_LOST,
+                    "kind=%s revision=%llu watch_revision=%llu waited_ms=%lld",
+                    kind_names[entries->kind], (unsigned long long) entries->revision,
+                    (unsigned long long) watch_revision,
+                    (long long) ((now_us - stream->call_started_us) / TT_MILLISECOND_US));
+      stream->call_id = 0;
+      stream->next_call_us = now_us + batch_delay_us (board, entries->kind);
     }
 }
 
@@ -261,112 +308,140 @@
   return !entries->is_list || !entries->has_more || entries->continue_after != NULL;
 }
 
-/// Handles the result of a call, which is either the write of this daemon's entry or the list or
-/// watch call of one kind.
+/// Handles the result of the list or watch call in flight of one kind.
 static void
-complete_call (TtBoard *board, const TtEvent *event, int64_t now_us)
+complete_stream_call (TtBoard *board, TtStoreKind kind, const TtPlatformEvent *event, int code,
+                      int64_t now_us)
 {
-  TtFeedSection *section = &board->feed;
+  TtFeedStream *stream = &board->feed.streams[kind];
 
-  if (section->own_write_call_id != 0 && event->platform.call_id == section->own_write_call_id)
-    handle_own_write (section, event->platform.code, now_us);
-  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+  if (code != TT_OK && stream->revision != 0 && !is_watched (board, kind))
     {
-      TtFeedStream *stream = &section->streams[kind];
-
-      if (stream->call_id == 0 || stream->call_id != event->platform.call_id)
-        continue;
-      if (event->platform.code != TT_OK && stream->revision != 0
-          && !is_watched (board, (TtStoreKind) kind))
-        {
-          // A watch of a daemon that no longer reads, or a list that was requested once; it is not
-          // repeated.
-          stream->call_id = 0;
-          stream->list_requested = false;
-          set_continue_after (stream, NULL);
-        }
-      else if (event->platform.code == TT_OK && event->platform.entries != NULL
-               && has_continuation (event->platform.entries))
-        {
-          event->platform.entries->is_first_page
-              = event->platform.entries->is_list && stream->continue_after == NULL;
-          handle_call_result (board, stream, event->platform.entries, now_us);
-        }
-      else
-        handle_call_failure (board, stream, event->platform.code, now_us);
+      // A watch of a daemon that no longer reads, or a list that was requested once; it is not
+      // repeated.
+      stream->call_id = 0;
+      stream->list_requested = false;
+      set_continue_after (stream, NULL);
     }
-  log_store_state (board, now_us);
+  else if (code == TT_OK && event->entries != NULL && has_continuation (event->entries))
+    {
+      event->entries->is_first_page = event->entries->is_list && stream->continue_after == NULL;
+      handle_call_result (board, stream, event->entries, now_us);
+    }
+  else
+    handle_call_failure (board, stream, code, now_us);
 }
 
-/// Checks whether the store's entry for this daemon is up to date.
+/// Handles the result of a call: the write of this daemon's entry, or the list, the watch or the
+/// confirmation of one kind.
 static void
-check_own_entry (TtBoard *board, const TtEvent *event)
+complete_call (TtBoard *board, const TtEvent *event, int64_t now_us)
 {
   TtFeedSection *section = &board->feed;
-  const TtStoreEntries *entries = event->platform.entries;
+  const TtPlatformEvent *result = &event->platform;
+  int code = result->code;
+  bool known = false;
 
-  if (entries == NULL || entries->from_peer || entries->kind != TT_STORE_DAEMONS)
-    return;
-  if (entries->is_list && entries->is_first_page)
-    section->own_entry_listed = false;
-  for (uint32_t i = 0; i < entries->count; i++)
+  if (section->own_write_call_id != 0 && result->call_id == section->own_write_call_id)
+    tt_own_entry_handle_write (board, code, now_us);
+  for (int kind = 0; kind < TT_STORE_KINDS && result->call_id != 0; kind++)
     {
-      const TtStoreEntry *entry = &entries->entries[i];
+      TtFeedStream *stream = &section->streams[kind];
 
-      if (strcmp (entry->name, board->config.name) != 0)
+      if (stream->call_id == result->call_id)
+        complete_stream_call (board, (TtStoreKind) kind, result, code, now_us);
+      else if (stream->confirm_call_id == result->call_id)
+        handle_confirm_result (board, stream, result, code, now_us);
+      else
         continue;
-      section->own_entry_listed = true;
-      section->own_entry_exists = !entry->removed;
-      section->own_entry_current = !entry->removed && entry->valid
-                                   && entry->daemon.port == board->config.peer_port
-                                   && strcmp (entry->daemon.address, board->config.address) == 0;
+      known = true;
     }
-  if (entries->is_list && !entries->has_more && !section->own_entry_listed)
+  if (result->entries != NULL && result->call_id != 0 && (!known || code != TT_OK))
     {
-      section->own_entry_exists = false;
-      section->own_entry_current = false;
+      result->entries->discarded = true;
+      tt_board_counter_add (board, TT_COUNT_ANSWERS_DISCARDED, 1);
+      tt_board_log (
+          board, TT_LOG_ANSWER_DISCARDED, "kind=%s revision=%llu era=%llu current_era=%llu",
+          kind_names[result->entries->kind], (unsigned long long) result->entries->revision,
+          (unsigned long long) result->era, (unsigned long long) board->evidence.era);
     }
+  log_store_state (board, now_us);
 }
 
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
+  const TtStoreEntries *entries = event->platform.entries;
+
   (void) context;
-  if (event->type != TT_EVENT_PLATFORM_RESPONSE)
+  if (event->type != TT_EVENT_PLATFORM_RESPONSE || event->platform.op == TT_PLATFORM_PEER)
     return;
   complete_call (board, event, now_us);
-  check_own_entry (board, event);
+  if (entries != NULL && !entries->discarded && entries->kind == TT_STORE_DAEMONS)
+    tt_own_entry_check (board, entries);
 }
 
+/// Starts the next list or watch of a kind, if it is due.
 static void
-run (void *context, TtBoard *board, int64_t now_us)
+run_stream (TtBoard *board, TtStoreKind kind, int64_t now_us)
 {
-  TtFeedSection *section = &board->feed;
-  const TtFeedStream *daemons = &section->streams[TT_STORE_DAEMONS];
+  TtFeedStream *stream = &board->feed.streams[kind];
+  bool lists = stream->revision == 0 || stream->list_requested;
+
+  if (stream->call_id != 0 && now_us - stream->call_started_us > CALL_TIMEOUT_US)
+    handle_call_failure (board, stream, TT_E_TIMEOUT, now_us);
+  if (stream->call_id != 0 || now_us < stream->next_call_us
+      || (!lists && !is_watched (board, kind)))
+    return;
+  // A watch waits only if it begins right after a response. The store may have fallen silent since
+  // an older one: it would never respond to the watch, and its end would not show.
+  stream->watch_waits = !lists && stream->failing_since_us == 0
+                        && now_us - stream->responded_us < TT_TICK_INTERVAL_US;
+  stream->call_id = tt_feed_call_store (board, lists ? TT_PLATFORM_LIST : TT_PLATFORM_WATCH_ENTRIES,
+                                        kind, stream, stream->watch_waits);
+  stream->call_started_us = now_us;
+}
+
+/// Confirms the copy that is known to be current for the longest time, if it is due. A watch that
+/// waits proves nothing: its answer may have been lost.
+static void
+confirm_oldest_copy (TtBoard *board, int64_t now_us)
+{
+  TtFeedStream *oldest = NULL;
+  TtStoreKind oldest_kind = TT_STORE_CONFIG;
+  int64_t oldest_us = now_us - tt_evidence_confirm_after_us (board);
 
-  (void) context;
   for (int kind = 0; kind < TT_STORE_KINDS; kind++)
     {
-      TtFeedStream *stream = &section->streams[kind];
-
-      if (stream->call_id != 0 && now_us - stream->call_started_us > CALL_TIMEOUT_US)
-        handle_call_failure (board, stream, TT_E_TIMEOUT, now_us);
-      if (stream->call_id != 0 || now_us < stream->next_call_us
-          || (stream->revision != 0 && !stream->list_requested
-              && !is_watched (board, (TtStoreKind) kind)))
+      TtFeedStream *stream = &board->feed.streams[kind];
+
+      if (stream->confirm_call_id != 0 && now_us - stream->confirm_started_us > CALL_TIMEOUT_US)
+        stream->confirm_call_id = 0;
+      if (stream->confirm_call_id != 0)
+        return;
+      if (stream->call_id == 0 || !stream->watch_waits || now_us < stream->next_confirm_us
+          || tt_evidence_confirmed_us (board, (TtStoreKind) kind) > oldest_us)
         continue;
-      stream->call_id
-          = call_store (board,
-                        stream->revision == 0 || stream->list_requested ? TT_PLATFORM_LIST
-                                                                        : TT_PLATFORM_WATCH_ENTRIES,
-                        (TtStoreKind) kind, stream, now_us);
-      stream->call_started_us = now_us;
+      oldest_us = tt_evidence_confirmed_us (board, (TtStoreKind) kind) - 1;
+      oldest = stream;
+      oldest_kind = (TtStoreKind) kind;
     }
-  if (section->own_write_call_id == 0 && !section->own_entry_current && daemons->revision != 0
-      && now_us >= section->own_write_next_us)
-    section->own_write_call_id
-        = call_store (board, section->own_entry_exists ? TT_PLATFORM_REPLACE : TT_PLATFORM_CREATE,
-                      TT_STORE_DAEMONS, NULL, now_us);
+  if (oldest == NULL)
+    return;
+  oldest->confirm_call_id
+      = tt_feed_call_store (board, TT_PLATFORM_WATCH_ENTRIES, oldest_kind, oldest, false);
+  oldest->confirm_started_us = now_us;
+}
+
+static void
+run (void *context, TtBoard *board, int64_t now_us)
+{
+  (void) context;
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+    run_stream (board, (TtStoreKind) kind, now_us);
+  if (board->reader.reads_store)
+    confirm_oldest_copy (board, now_us);
+  tt_own_entry_run (board, now_us);
 }
 
 TtController
--- a/src/tarragontrack/control/fleet.c
+++ b/src/tarragontrack/control/fleet.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/fleet_copies.h"
 #include "tarragontrack/control/fleet_loads.h"
 #include "tarragontrack/control/notice.h"
@@ -135,10 +136,11 @@
   daemon->last_status_us = now_us;
   set_address (daemon, status->address, status->port);
   daemon->table_version = status->table_version;
-  daemon->servers_revision = status->servers_revision;
+  daemon->servers = status->servers;
   daemon->domain_id = status->domain_id;
   daemon->reads_store = status->reads_store;
-  daemon->change_revision = status->change_revision;
+  daemon->change = status->change;
+  tt_evidence_add_report (board, &status->confirmation, now_us);
   tt_fleet_loads_store (board, &daemon->report, status->loads, status->load_count);
   tt_fleet_loads_update (board, daemon, now_us);
   for (uint32_t i = 0; i < status->prefix_holder_count; i++)
@@ -167,16 +169,17 @@
 }
 
 void
-tt_fleet_fill_identity (const TtBoard *board, TtDaemonStatus *status)
+tt_fleet_fill_identity (const TtBoard *board, TtDaemonStatus *status, int64_t now_us)
 {
   (void) snprintf (status->name, sizeof status->name, "%s", board->config.name);
   (void) snprintf (status->address, sizeof status->address, "%s", board->config.address);
   status->port = board->config.peer_port;
   status->table_version = board->routes.table != NULL ? board->routes.table->version : 0;
-  status->servers_revision = board->registry.revision;
+  status->servers = board->registry.point;
   status->domain_id = board->domain_id;
   status->reads_store = tt_reader_is_healthy (board);
-  status->change_revision = board->registry.change_revision;
+  status->change = board->registry.change;
+  status->confirmation = tt_evidence_confirmation (board, now_us);
 }
 
 /// Adds the leaving backend servers and the suspect requests that this daemon knows, those that it
@@ -225,7 +228,7 @@
 
   if (message == NULL)
     return NULL;
-  tt_fleet_fill_identity (board, &message->status);
+  tt_fleet_fill_identity (board, &message->status, now_us);
   fill_findings_and_loads (board, &message->status, now_us);
   return message;
 }
@@ -242,6 +245,18 @@
     }
 }
 
+void
+tt_fleet_send_status_to_readers (TtBoard *board, int64_t now_us)
+{
+  TT_LIST_FOREACH (&board->fleet.daemons, it)
+    {
+      const TtDaemon *daemon = TT_CONTAINER_OF (it, TtDaemon, link);
+
+      if (daemon->alive && daemon->reads_store)
+        (void) tt_fleet_new_status (board, daemon, now_us);
+    }
+}
+
 static void
 send_statuses (TtBoard *board, int64_t now_us)
 {
@@ -336,7 +351,7 @@
 {
   (void) context;
   if (event->type == TT_EVENT_PLATFORM_RESPONSE && event->platform.entries != NULL
-      && event->platform.entries->kind == TT_STORE_DAEMONS)
+      && !event->platform.entries->discarded && event->platform.entries->kind == TT_STORE_DAEMONS)
     apply_daemon_entries (board, event->platform.entries);
   if (event->type != TT_EVENT_PEER_MESSAGE
       || event->peer->sender_id == tt_hash_string (board->config.name))
--- a/src/tarragontrack/control/fleet.h
+++ b/src/tarragontrack/control/fleet.h
@@ -30,8 +30,11 @@
 /// Sends a status message to all live daemons, or to those of this daemon's failure domain.
 void tt_fleet_send_status (TtBoard *board, bool domain_only, int64_t now_us);
 
+/// Sends a status message to all daemons that read the store.
+void tt_fleet_send_status_to_readers (TtBoard *board, int64_t now_us);
+
 /// Sets this daemon's name, address, versions and role.
-void tt_fleet_fill_identity (const TtBoard *board, TtDaemonStatus *status);
+void tt_fleet_fill_identity (const TtBoard *board, TtDaemonStatus *status, int64_t now_us);
 
 /// Interval between two status messages to the same daemon.
 int64_t tt_fleet_status_period_us (const TtBoard *board);
--- a/src/tarragontrack/control/fleet_copies.c
+++ b/src/tarragontrack/control/fleet_copies.c
@@ -5,6 +5,7 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/store.h"
+#include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/feed.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/reader.h"
@@ -24,12 +25,12 @@
 #define FETCHES_BEFORE_LIST 2
 
 static void
-send_fetch_request (TtBoard *board, const TtDaemon *daemon, TtPeerType type)
+send_fetch_request (TtBoard *board, const TtDaemon *daemon, TtPeerType type, int64_t now_us)
 {
   TtPeerMessage *message = tt_fleet_new_message (board, daemon->address, daemon->port, type);
 
   if (message != NULL)
-    tt_fleet_fill_identity (board, &message->status);
+    tt_fleet_fill_identity (board, &message->status, now_us);
 }
 
 /// Responds to a daemon that requested the routing table.
@@ -85,8 +86,9 @@
     }
   servers = &message->servers;
   servers->kind = TT_STORE_SERVERS;
-  servers->revision = board->registry.revision;
-  servers->lapse_ms = tt_registry_lapse_ms (board, now_us);
+  servers->era = board->registry.point.era;
+  servers->revision = board->registry.point.revision;
+  servers->lapse_ms = tt_registry_lapse_ms (board, true, now_us);
   servers->entries = entries;
   TT_LIST_FOREACH (&board->backends.all, it)
     {
@@ -102,7 +104,7 @@
       servers->count++;
       entry->kind = TT_STORE_SERVERS;
       entry->valid = true;
-      entry->revision = backend->registry.revision;
+      entry->revision = backend->registry.point.revision;
       entry->name = tt_store_text_add (&text, backend->name, strlen (backend->name));
       entry->server.service
           = tt_store_text_add (&text, backend->pool->name, strlen (backend->pool->name));
@@ -143,12 +145,13 @@
 /// FETCHES_BEFORE_LIST requests, for example because no message can hold it, the store is read as
 /// well, less and less often.
 static void
-fetch (TtBoard *board, TtCopy *copy, const TtDaemon *source, TtPeerType type, TtStoreKind kind)
+fetch (TtBoard *board, TtCopy *copy, const TtDaemon *source, TtPeerType type, TtStoreKind kind,
+       int64_t now_us)
 {
   if (copy->fetches >= FETCHES_BEFORE_LIST && (copy->fetches & (copy->fetches - 1)) == 0)
     tt_feed_request_list (board, kind);
   copy->fetches++;
-  send_fetch_request (board, source, type);
+  send_fetch_request (board, source, type, now_us);
 }
 
 /// True if the daemon's list of backend servers may be copied. While the store serves a reader of
@@ -184,8 +187,9 @@
       if (daemon->table_version > (table_source != NULL ? table_source->table_version : table))
         table_source = daemon;
       if (!reads && is_server_source (board, daemon, has_reader, now_us)
-          && daemon->servers_revision > (servers_source != NULL ? servers_source->servers_revision
-                                                                : board->registry.revision))
+          && tt_evidence_compare (daemon->servers, servers_source != NULL ? servers_source->servers
+                                                                          : board->registry.point)
+                 > 0)
         servers_source = daemon;
     }
   bool fetch_table
@@ -199,8 +203,9 @@
     return;
   section->next_fetch_us = now_us + FETCH_INTERVAL_US;
   if (fetch_table)
-    fetch (board, &section->table_copy, table_source, TT_PEER_TABLE_REQUEST, TT_STORE_CONFIG);
+    fetch (board, &section->table_copy, table_source, TT_PEER_TABLE_REQUEST, TT_STORE_CONFIG,
+           now_us);
   if (fetch_servers)
-    fetch (board, &section->servers_copy, servers_source, TT_PEER_SERVERS_REQUEST,
-           TT_STORE_SERVERS);
+    fetch (board, &section->servers_copy, servers_source, TT_PEER_SERVERS_REQUEST, TT_STORE_SERVERS,
+           now_us);
 }
--- a/src/tarragontrack/control/fleet_loads.c
+++ b/src/tarragontrack/control/fleet_loads.c
@@ -10,6 +10,7 @@
 #include "tarragontrack/control/fleet_loads.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/prefix_table.h"
 #include "tarragontrack/control/reader.h"
@@ -155,8 +156,9 @@
   merge_holders (board, sums, now_us);
   if (sums->table_version > collector->table_version)
     collector->table_version = sums->table_version;
-  if (sums->change_revision > collector->change_revision)
-    collector->change_revision = sums->change_revision;
+  if (tt_evidence_compare (sums->change, collector->change) > 0)
+    collector->change = sums->change;
+  tt_evidence_add_report (board, &sums->confirmation, now_us);
   if (sums->domain_id == board->domain_id)
     {
       if (tt_reader_find (board, now_us) != collector)
@@ -220,11 +222,12 @@
 
 /// Fills in the loads of this daemon and of those counted: all, or those of this failure domain.
 static void
-fill_sums (const TtBoard *board, bool domain_only, TtLoadSums *sums)
+fill_sums (const TtBoard *board, bool domain_only, TtLoadSums *sums, int64_t now_us)
 {
+  sums->confirmation = tt_evidence_confirmation (board, now_us);
   sums->domain_id = board->domain_id;
   sums->table_version = board->routes.table != NULL ? board->routes.table->version : 0;
-  sums->change_revision = board->registry.change_revision;
+  sums->change = board->registry.change;
   TT_LIST_FOREACH (&board->backends.all, it)
     {
       const TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
@@ -244,7 +247,7 @@
 /// Sends each daemon of this failure domain the sums over all others, and the collectors of other
 /// domains the sums of this one.
 static void
-send_sums (TtBoard *board)
+send_sums (TtBoard *board, int64_t now_us)
 {
   TtStatusPrefixHolder holders[TT_MAX_STATUS_HOLDERS];
   uint32_t holder_count = tt_prefix_table_pop_changes (board, holders);
@@ -262,7 +265,7 @@
       if (message == NULL)
         continue;
       set_counted (board, &daemon->report, false); // the receiver knows its own loads
-      fill_sums (board, !own_domain, &message->sums);
+      fill_sums (board, !own_domain, &message->sums, now_us);
       set_counted (board, &daemon->report, counted);
       message->sums.prefix_holder_count = holder_count;
       memcpy (message->sums.prefix_holders, holders, holder_count * sizeof *holders);
@@ -320,12 +323,12 @@
     return;
   section->next_loads_us = now_us + period_us (board);
   // Reports may name backend servers that this daemon did not know when it received them.
-  if (section->counted_revision != board->registry.revision)
+  if (tt_evidence_compare (section->counted, board->registry.point) != 0)
     recount (board);
-  section->counted_revision = board->registry.revision;
+  section->counted = board->registry.point;
   update_mode (board, now_us);
   if (section->loads_mode == TT_LOADS_COLLECTED)
-    send_sums (board);
+    send_sums (board, now_us);
   else if (tt_fleet_status_period_us (board) > COLLECTED_HOPS * TT_FLEET_PERIOD_US)
     send_report (board, now_us);
 }
--- a/src/tarragontrack/control/notice.c
+++ b/src/tarragontrack/control/notice.c
@@ -150,7 +150,7 @@
                     "request=%s servers_revision=%llu",
                     backend != NULL ? backend->name : "", (unsigned long long) process_start_ms,
                     seen_here ? "answer" : "daemon", seen_here ? request : "",
-                    (unsigned long long) board->registry.revision);
+                    (unsigned long long) board->registry.point.revision);
     }
   notice->leaving = true;
   notice->leaving_seen_here = notice->leaving_seen_here || seen_here;
--- a/src/tarragontrack/control/reader.c
+++ b/src/tarragontrack/control/reader.c
@@ -3,14 +3,15 @@
 /// daemon of each failure domain reads; the calls then grow with the changes alone.
 ///
 /// Nothing depends on there being exactly one reader. A daemon that hears none starts to read, and
-/// two that read at the same time only cost calls. All times are fractions of the time for which a
-/// leaving backend server still serves, because a change must reach all daemons within it, also if
-/// the reader fails just before it would have passed the change on.
+/// two that read at the same time only cost calls. All times are fractions of the time within which
+/// a change must reach all daemons, also if the reader fails just before it would have passed it
+/// on.
 #include "tarragontrack/control/reader.h"
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/store.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/feed.h"
 #include "tarragontrack/control/fleet.h"
 #include "tarragontrack/control/registry.h"
@@ -37,7 +38,7 @@
 static int64_t
 silence_us (const TtBoard *board)
 {
-  return board->config.bounds.leaving_ms * TT_MILLISECOND_US / SILENCE_DIVISOR;
+  return tt_evidence_change_limit_us (board) / SILENCE_DIVISOR;
 }
 
 static bool
@@ -45,9 +46,10 @@
 {
   for (size_t i = 0; i < sizeof watched_kinds / sizeof watched_kinds[0]; i++)
     {
-      int64_t since_us = board->feed.streams[watched_kinds[i]].failing_since_us;
+      const TtFeedStream *stream = &board->feed.streams[watched_kinds[i]];
 
-      if (since_us != 0 && now_us - since_us >= silence_us (board) / FAILING_DIVISOR)
+      if (stream->failing_since_us != 0
+          && now_us - stream->failing_since_us >= silence_us (board) / FAILING_DIVISOR)
         return true;
     }
   return false;
@@ -201,8 +203,9 @@
       const TtDaemon *daemon = TT_CONTAINER_OF (it, TtDaemon, link);
 
       if (daemon->alive
-          && (kind == TT_STORE_CONFIG ? daemon->table_version > version
-                                      : daemon->change_revision > board->registry.revision))
+          && (kind == TT_STORE_CONFIG
+                  ? daemon->table_version > version
+                  : tt_evidence_compare (daemon->change, board->registry.point) > 0))
         return true;
     }
   return false;
@@ -305,9 +308,10 @@
   message->servers = (TtStoreEntries){ .kind = TT_STORE_SERVERS,
                                        .entries = entries,
                                        .count = changes->count,
+                                       .era = changes->era,
                                        .revision = changes->revision,
-                                       .base_revision = board->registry.base_revision,
-                                       .lapse_ms = tt_registry_lapse_ms (board, now_us) };
+                                       .base_revision = board->registry.base.revision,
+                                       .lapse_ms = tt_registry_lapse_ms (board, false, now_us) };
 }
 
 /// Passes on to the failure domain what the store has delivered.
@@ -342,7 +346,7 @@
 
   (void) context;
   if (event->type == TT_EVENT_PLATFORM_RESPONSE && entries != NULL && !entries->from_peer
-      && board->reader.reads_store)
+      && !entries->discarded && board->reader.reads_store)
     relay_response (board, entries, now_us);
 }
 
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -2,15 +2,11 @@
 #include "tarragontrack/board/backend.h"
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/control/controllers.h"
-#include "tarragontrack/control/feed.h"
+#include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/notice.h"
 #include <stdio.h>
 #include <string.h>
 
-/// The wait for lapsed entries ends this long before the settling time does, which leaves time for
-/// a request that is in flight at that moment; see may_have_lapsed().
-#define SETTLE_MARGIN_US (100 * TT_MILLISECOND_US)
-
 static int
 open_registry (void *context, TtBoard *board)
 {
@@ -37,10 +33,10 @@
     return;
   backend->roster.state = state;
   backend->roster.changed_us = now_us;
-  tt_board_log (board, event, "backend=%s service=%s address=%s:%u revision=%llu cause=%s",
+  tt_board_log (board, event, "backend=%s service=%s address=%s:%u era=%llu revision=%llu cause=%s",
                 backend->name, backend->pool != NULL ? backend->pool->spec.name : "",
-                backend->address, backend->port, (unsigned long long) backend->registry.revision,
-                cause);
+                backend->address, backend->port, (unsigned long long) backend->registry.point.era,
+                (unsigned long long) backend->registry.point.revision, cause);
 }
 
 /// Returns the pool of a service; creates it if the configuration doesn't have the service yet.
@@ -67,9 +63,22 @@
   memset (&backend->recovery, 0, sizeof backend->recovery);
 }
 
+static void
+move_to_pool (TtBackendServer *backend, TtPool *pool)
+{
+  if (backend->pool == pool)
+    return;
+  if (backend->pool != NULL)
+    tt_list_remove (&backend->pool->backends, &backend->pool_link);
+  backend->pool = pool;
+  backend->service_id = pool->id;
+  tt_list_append (&pool->backends, &backend->pool_link);
+}
+
 /// Applies the entry of a backend server from the store or from another daemon's copy.
 static void
-apply_server (TtBoard *board, const TtStoreEntry *entry, bool from_peer, int64_t now_us)
+apply_server (TtBoard *board, const TtStoreEntry *entry, TtStorePoint point, bool from_peer,
+              int64_t now_us)
 {
   uint64_t id = tt_hash_string (entry->name);
   TtBackendServer *backend = tt_backend_find (board, id);
@@ -81,7 +90,7 @@
     backend = tt_backend_new (board, id, entry->name);
   if (backend == NULL)
     return;
-  if (entry->revision < backend->registry.revision)
+  if (tt_evidence_compare (point, backend->registry.point) < 0)
     return; // another daemon's copy may be older
   if (backend->registry.process_start_ms != entry->server.process_start_ms)
     reset_process_state (backend);
@@ -91,18 +100,11 @@
   backend->registry.process_start_ms = entry->server.process_start_ms;
   backend->notice.unavailable_until_us
       = tt_notice_unavailable_until_us (board, id, entry->server.process_start_ms);
-  backend->registry.revision = entry->revision;
+  backend->registry.point = point;
   backend->registry.slots = entry->server.slots;
   backend->registry.missing_since_us = 0;
   backend->weight = 1.0;
-  if (backend->pool != pool)
-    {
-      if (backend->pool != NULL)
-        tt_list_remove (&backend->pool->backends, &backend->pool_link);
-      backend->pool = pool;
-      backend->service_id = pool->id;
-      tt_list_append (&pool->backends, &backend->pool_link);
-    }
+  move_to_pool (backend, pool);
   if (entry->server.leaving)
     set_state (board, backend, TT_BACKEND_LEAVING, from_peer ? "copy" : "entry", now_us);
   else if (tt_notice_is_leaving (board, id, entry->server.process_start_ms))
@@ -126,96 +128,92 @@
     }
 }
 
-/// Part of the settling time after the last failed call of which SETTLE_MARGIN_US is left out.
-static int64_t
-lapse_time_us (const TtBoard *board)
-{
-  return board->config.bounds.settle_ms * TT_MILLISECOND_US - SETTLE_MARGIN_US;
-}
-
 uint32_t
-tt_registry_lapse_ms (const TtBoard *board, int64_t now_us)
+tt_registry_lapse_ms (const TtBoard *board, bool is_list, int64_t now_us)
 {
-  const TtFeedStream *stream = &board->feed.streams[TT_STORE_SERVERS];
-  int64_t end_us = board->registry.lapse_until_us;
+  int64_t end_us = tt_evidence_lapse_end_us (board, now_us);
 
-  if (tt_feed_is_outage (board, stream, now_us))
-    end_us = now_us + lapse_time_us (board);
-  else if (stream->last_failed_call_us != 0
-           && stream->last_failed_call_us + lapse_time_us (board) > end_us)
-    end_us = stream->last_failed_call_us + lapse_time_us (board);
+  if (is_list && board->registry.lapse_until_us > end_us)
+    end_us = board->registry.lapse_until_us;
   return end_us > now_us ? (uint32_t) ((end_us - now_us) / TT_MILLISECOND_US) : 0;
 }
 
-/// True while entries may be missing only because the store was unavailable: the backend servers
-/// register again within about two seconds after the store is available again. One settling time
-/// after that moment, a missing entry must count as gone. The time is counted from the start of the
-/// last failed call, because that call began while the store was still unavailable. While calls
-/// fail that are no outage yet, the next call decides.
-static bool
-may_have_lapsed (const TtBoard *board, int64_t now_us)
-{
-  return tt_registry_lapse_ms (board, now_us) > 0
-         || board->feed.streams[TT_STORE_SERVERS].failing_since_us != 0;
-}
-
 /// Marks a backend server as gone; if its entry may have lapsed, only records when the entry was
 /// first missing.
 static void
 remove_server (TtBoard *board, TtBackendServer *backend, const char *cause, int64_t now_us)
 {
-  if (may_have_lapsed (board, now_us) && backend->roster.state == TT_BACKEND_LIVE)
+  const TtEvidenceSection *evidence = &board->evidence;
+
+  if (!board->registry.keeps_missing || backend->roster.state != TT_BACKEND_LIVE)
     {
-      if (backend->registry.missing_since_us == 0)
-        backend->registry.missing_since_us = now_us;
+      set_state (board, backend, TT_BACKEND_GONE, cause, now_us);
       return;
     }
-  set_state (board, backend, TT_BACKEND_GONE, cause, now_us);
+  if (backend->registry.missing_since_us != 0)
+    return;
+  backend->registry.missing_since_us = now_us;
+  tt_board_log (board, TT_LOG_BACKEND_MISSING,
+                "backend=%s cause=%s wait_ms=%lld steady_ms_ago=%lld failed_ms_ago=%lld era=%llu",
+                backend->name, cause,
+                (long long) ((board->registry.lapse_until_us - now_us) / TT_MILLISECOND_US),
+                (long long) ((now_us - evidence->steady_us) / TT_MILLISECOND_US),
+                (long long) ((now_us - evidence->failed_us) / TT_MILLISECOND_US),
+                (unsigned long long) evidence->era);
+}
+
+/// Applies one entry of a list or of changes.
+static void
+apply_entry (TtBoard *board, const TtStoreEntries *entries, const TtStoreEntry *entry,
+             int64_t now_us)
+{
+  TtRegistrySection *section = &board->registry;
+  TtStorePoint point = { .revision = entry->revision };
+  TtBackendServer *backend;
+
+  if (tt_evidence_compare (point, section->change) > 0)
+    section->change = point;
+  // Skips a delayed store event that is not newer than the adopted copy: the entry may have
+  // been removed since.
+  if (!entries->is_list && !entry->removed && tt_evidence_compare (point, section->peer_copy) <= 0)
+    return;
+  if (!entry->removed && entry->valid)
+    apply_server (board, entry, point, entries->from_peer, now_us);
+  backend = tt_backend_find (board, tt_hash_string (entry->name));
+  if (backend == NULL)
+    return;
+  backend->registry.listed = true;
+  if (tt_evidence_compare (point, backend->registry.point) < 0)
+    return; // a newer state of the entry is known
+  if (entry->removed)
+    remove_server (board, backend, "removed", now_us);
+  else if (!entry->valid)
+    set_state (board, backend, TT_BACKEND_GONE, "unreadable entry", now_us);
 }
 
 static void
 apply_entries (TtBoard *board, const TtStoreEntries *entries, int64_t now_us)
 {
+  TtRegistrySection *section = &board->registry;
+  TtStorePoint point = { .revision = entries->revision };
+
   if (entries->is_list && entries->is_first_page)
     TT_LIST_FOREACH (&board->backends.all, it)
       TT_CONTAINER_OF (it, TtBackendServer, link)->registry.listed = false;
   for (uint32_t i = 0; i < entries->count; i++)
-    {
-      const TtStoreEntry *entry = &entries->entries[i];
-      TtBackendServer *backend;
-
-      if (entry->revision > board->registry.change_revision)
-        board->registry.change_revision = entry->revision;
-      // Skips a delayed store event that is not newer than the adopted copy: the entry may have
-      // been removed since.
-      if (!entries->is_list && !entry->removed
-          && entry->revision <= board->registry.peer_copy_revision)
-        continue;
-      if (!entry->removed && entry->valid)
-        apply_server (board, entry, entries->from_peer, now_us);
-      backend = tt_backend_find (board, tt_hash_string (entry->name));
-      if (backend == NULL)
-        continue;
-      backend->registry.listed = true;
-      if (entry->revision < backend->registry.revision)
-        continue; // a newer revision of the entry is known
-      if (entry->removed)
-        remove_server (board, backend, "removed", now_us);
-      else if (!entry->valid)
-        set_state (board, backend, TT_BACKEND_GONE, "unreadable entry", now_us);
-    }
+    apply_entry (board, entries, &entries->entries[i], now_us);
   if (!entries->is_list)
     {
-      if (entries->count > 0 && entries->revision > board->registry.revision)
-        board->registry.revision = entries->revision;
+      if (entries->count > 0 && tt_evidence_compare (point, section->point) > 0)
+        section->point = point;
       return;
     }
   if (entries->has_more)
     return;
   if (entries->from_peer)
-    board->registry.peer_copy_revision = entries->revision;
-  board->registry.revision = entries->revision;
-  board->registry.complete = true;
+    section->peer_copy = point;
+  section->point = point;
+  section->complete = true;
   TT_LIST_FOREACH (&board->backends.all, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
@@ -225,43 +223,74 @@
     }
 }
 
+/// True if entries apply to this daemon's list. Another daemon's copy is adopted only if it is
+/// newer, and its changes only if none is missing between them and this daemon's list.
+static bool
+is_applicable (const TtBoard *board, const TtStoreEntries *entries)
+{
+  const TtRegistrySection *section = &board->registry;
+  TtStorePoint point = { .revision = entries->revision };
+
+  if (!entries->from_peer)
+    return true;
+  if (tt_evidence_compare (point, section->point) <= 0)
+    return false;
+  return entries->is_list
+         || (section->complete && entries->base_revision <= section->point.revision);
+}
+
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
   const TtStoreEntries *entries = event->platform.entries;
+  TtRegistrySection *section = &board->registry;
+  int64_t lapse_end_us;
 
   (void) context;
-  if (event->type != TT_EVENT_PLATFORM_RESPONSE || entries == NULL
-      || entries->kind != TT_STORE_SERVERS)
-    return;
-  // Another daemon's copy is adopted only if it is newer, and its changes only if none is missing
-  // between them and this daemon's list.
-  if (entries->from_peer
-      && (entries->revision <= board->registry.revision
-          || (!entries->is_list
-              && (!board->registry.complete || entries->base_revision > board->registry.revision))))
+  if (event->type != TT_EVENT_PLATFORM_RESPONSE || entries == NULL || entries->discarded
+      || entries->kind != TT_STORE_SERVERS || !is_applicable (board, entries))
     return;
-  if (entries->from_peer && entries->lapse_ms > 0)
-    board->registry.lapse_until_us = now_us + entries->lapse_ms * TT_MILLISECOND_US;
-  board->registry.base_revision = board->registry.revision;
+  // Who read the store knows whether entries may have lapsed.
+  lapse_end_us = !entries->from_peer     ? tt_evidence_lapse_end_us (board, now_us)
+                 : entries->lapse_ms > 0 ? now_us + entries->lapse_ms * TT_MILLISECOND_US
+                                         : 0;
+  section->keeps_missing = lapse_end_us != 0;
+  if (lapse_end_us > section->lapse_until_us)
+    section->lapse_until_us = lapse_end_us;
+  section->base = section->point;
   apply_entries (board, entries, now_us);
 }
 
+/// Ends the wait for entries that may have lapsed, and the hold of processes that left in an
+/// earlier era but are listed for longer than the store lists a process that does not report.
+static void
+end_waits (TtBoard *board, TtBackendServer *backend, int64_t now_us)
+{
+  TtRegistryBackend *registry = &backend->registry;
+
+  if (registry->missing_since_us != 0 && now_us >= board->registry.lapse_until_us)
+    {
+      registry->missing_since_us = 0;
+      set_state (board, backend, TT_BACKEND_GONE, "lapsed", now_us);
+    }
+}
+
 static void
 run (void *context, TtBoard *board, int64_t now_us)
 {
+  int64_t lapse_end_us = tt_evidence_lapse_end_us (board, now_us);
+
   (void) context;
+  // Calls that go on failing extend the wait that has begun.
+  if (board->registry.lapse_until_us > now_us && lapse_end_us > board->registry.lapse_until_us)
+    board->registry.lapse_until_us = lapse_end_us;
   if (board->notice.leaving_changed)
     apply_notices (board, now_us);
   TT_LIST_FOREACH (&board->backends.all, it)
     {
       TtBackendServer *backend = TT_CONTAINER_OF (it, TtBackendServer, link);
 
-      if (backend->registry.missing_since_us != 0 && !may_have_lapsed (board, now_us))
-        {
-          backend->registry.missing_since_us = 0;
-          set_state (board, backend, TT_BACKEND_GONE, "lapsed", now_us);
-        }
+      end_waits (board, backend, now_us);
       if (backend->roster.state == TT_BACKEND_GONE && backend->attempts.count == 0)
         tt_backend_free (board, backend);
     }
--- a/src/tarragontrack/control/routes.c
+++ b/src/tarragontrack/control/routes.c
@@ -232,7 +232,7 @@
 
   (void) context;
   if (event->type == TT_EVENT_PLATFORM_RESPONSE && event->platform.entries != NULL
-      && event->platform.entries->kind == TT_STORE_CONFIG)
+      && !event->platform.entries->discarded && event->platform.entries->kind == TT_STORE_CONFIG)
     apply_entries (board, event->platform.entries);
   if (event->type != TT_EVENT_REQUEST)
     return;
--- /dev/null
+++ b/test/control/evidence_test.c
@@ -0,0 +1,220 @@
+#include "support/routed_fleet.h"
+#include "support/unit.h"
+#include "tarragontrack/board/backend.h"
+#include "tarragontrack/board/board.h"
+#include "tarragontrack/board/error_defs.h"
+#include "tarragontrack/control/evidence.h"
+#include <string.h>
+
+/// Time within which a change must reach all daemons: the fixture's leaving_ms, 2 s.
+#define CHANGE_LIMIT_MS INT64_C (2000)
+#define START_MS                                                                                   \
+  INT64_C (3000) ///< after it, every daemon knows the others and each domain has its reader
+#define SETTLE_MS INT64_C (3000) ///< the fixture's settle_ms
+#define REPORT_MS INT64_C (1000) ///< the fixture's report_ms
+#define DAEMONS 9
+#define DOMAINS 3
+
+static RoutedFleet fleet;
+
+static void
+open_fleet (void)
+{
+  routed_fleet_open (&fleet, DAEMONS, DOMAINS);
+  routed_fleet_advance (&fleet, START_MS);
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    UNIT_REQUIRE (routed_fleet_reader (&fleet, domain) >= 0);
+}
+
+static void
+set_store (StoreMode mode)
+{
+  for (unsigned i = 0; i < fleet.count; i++)
+    fleet.daemons[i].store = mode;
+}
+
+static TtBackendState
+state_at (unsigned index, const char *name)
+{
+  const TtBackendServer *backend
+      = tt_backend_find (fleet.daemons[index].routed.board, tt_hash_string (name));
+
+  return backend != NULL ? backend->roster.state : TT_BACKEND_GONE;
+}
+
+/// Number of daemons at which a backend server is in a state.
+static unsigned
+count_in_state (const char *name, TtBackendState state)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < fleet.count; i++)
+    count += state_at (i, name) == state;
+  return count;
+}
+
+/// Expects a state of a backend server, and the newest configuration, everywhere within the time
+/// for a change.
+static void
+expect_in_time (const char *name, TtBackendState state)
+{
+  CU_ASSERT (routed_fleet_settle (&fleet, name, state, CHANGE_LIMIT_MS) < CHANGE_LIMIT_MS);
+}
+
+/// The store turns one daemon away for a moment, and a backend server removes its entry @removal_ms
+/// after the beginning of that. Expects that all daemons drop it in time.
+static void
+remove_beside_local_outage (StoreMode mode, int64_t outage_ms, int64_t removal_ms)
+{
+  int reader;
+  int64_t left_ms = outage_ms - removal_ms;
+
+  open_fleet ();
+  reader = routed_fleet_reader (&fleet, 0);
+  if (removal_ms < 0)
+    {
+      routed_fleet_write_server (&fleet, "p1", false, true);
+      routed_fleet_advance (&fleet, -removal_ms);
+      left_ms = outage_ms;
+    }
+  fleet.daemons[reader].store = mode;
+  if (removal_ms >= 0 && removal_ms < outage_ms)
+    {
+      routed_fleet_advance (&fleet, removal_ms);
+      routed_fleet_write_server (&fleet, "p1", false, true);
+      // The daemons that are served learn of it in time also if the outage goes on.
+      for (int64_t ms = 0; ms < CHANGE_LIMIT_MS; ms += 10)
+        {
+          if (ms >= left_ms)
+            fleet.daemons[reader].store = STORE_SERVES;
+          routed_fleet_advance (&fleet, 10);
+        }
+    }
+  else
+    {
+      routed_fleet_advance (&fleet, outage_ms);
+      fleet.daemons[reader].store = STORE_SERVES;
+      if (removal_ms >= 0)
+        {
+          routed_fleet_advance (&fleet, removal_ms - outage_ms);
+          routed_fleet_write_server (&fleet, "p1", false, true);
+        }
+      routed_fleet_advance (&fleet, CHANGE_LIMIT_MS);
+    }
+  CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_GONE), DAEMONS);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a reader that lost the store for a moment and makes the other daemons, which the
+/// store served all the while, keep a backend server whose entry was removed (review case 10:
+/// DRAIN).
+static void
+removal_beside_outage_of_reader (void)
+{
+  static const StoreMode modes[] = { STORE_REJECTS, STORE_CUTS, STORE_LOSES };
+
+  for (unsigned i = 0; i < sizeof modes / sizeof modes[0]; i++)
+    {
+      remove_beside_local_outage (modes[i], 150, 400); // after
+      remove_beside_local_outage (modes[i], 150, 160); // just after
+      remove_beside_local_outage (modes[i], 150, 50);  // during
+      remove_beside_local_outage (modes[i], 150, -20); // just before
+      remove_beside_local_outage (modes[i], 1200, 2000);
+      remove_beside_local_outage (modes[i], 1200, 600);
+      remove_beside_local_outage (modes[i], 3000, 3500);
+      remove_beside_local_outage (modes[i], 3000, 2000);
+    }
+}
+
+/// Guards against taking the removal of an entry for a lapse after an outage of the store that was
+/// too short for one, and against dropping what lapsed in a long one.
+static void
+lapse_takes_two_report_intervals (void)
+{
+  open_fleet ();
+  set_store (STORE_REJECTS);
+  routed_fleet_advance (&fleet, REPORT_MS / 2);
+  set_store (STORE_SERVES);
+  routed_fleet_advance (&fleet, 300);
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  expect_in_time ("p1", TT_BACKEND_GONE);
+  set_store (STORE_REJECTS);
+  routed_fleet_advance (&fleet, 3 * REPORT_MS);
+  routed_fleet_write_server (&fleet, "p2", false, true);
+  set_store (STORE_SERVES);
+  routed_fleet_advance (&fleet, 1500);
+  CU_ASSERT_EQUAL (count_in_state ("p2", TT_BACKEND_LIVE), DAEMONS);
+  // Registered again: it stays.
+  routed_fleet_write_server (&fleet, "p2", false, false);
+  routed_fleet_advance (&fleet, SETTLE_MS);
+  CU_ASSERT_EQUAL (count_in_state ("p2", TT_BACKEND_LIVE), DAEMONS);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against dropping all backend servers after a series of outages, each too short for a
+/// lapse, between which their reports did not reach the store either.
+static void
+lapse_in_series_of_outages (void)
+{
+  open_fleet ();
+  for (unsigned i = 0; i < 4; i++)
+    {
+      set_store (STORE_REJECTS);
+      routed_fleet_advance (&fleet, REPORT_MS - 200);
+      set_store (STORE_SERVES);
+      routed_fleet_advance (&fleet, 300);
+    }
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  routed_fleet_advance (&fleet, 1500);
+  CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_LIVE), DAEMONS);
+  routed_fleet_advance (&fleet, SETTLE_MS);
+  CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_GONE), DAEMONS);
+  routed_fleet_close (&fleet);
+}
+
+/// Store calls of a fleet of the given size in 20 s without changes.
+static unsigned
+count_calm_calls (unsigned count)
+{
+  unsigned calls;
+
+  routed_fleet_open (&fleet, count, DOMAINS);
+  routed_fleet_advance (&fleet, 10000);
+  (void) routed_fleet_count_calls (&fleet);
+  routed_fleet_advance (&fleet, 20000);
+  calls = routed_fleet_count_calls (&fleet);
+  routed_fleet_close (&fleet);
+  return calls;
+}
+
+/// Load pattern: a calm fleet. Guards against confirmations by every daemon, or by every reader.
+static void
+calm_cost_is_flat (void)
+{
+  // One reader confirms the copies of all, every third of the time for a change. Two watches of
+  // each reader end.
+  unsigned limit = (unsigned) (20000 / (CHANGE_LIMIT_MS / 3)) + DOMAINS * 2 * 2 + 1;
+
+  CU_ASSERT (count_calm_calls (6) <= limit);
+  CU_ASSERT (count_calm_calls (48) <= limit);
+}
+
+/// Guards against an order of points that depends on revisions of different eras.
+static void
+eras_count_first (void)
+{
+  CU_ASSERT (tt_evidence_compare ((TtStorePoint){ 1, 90 }, (TtStorePoint){ 2, 10 }) < 0);
+  CU_ASSERT (tt_evidence_compare ((TtStorePoint){ 2, 10 }, (TtStorePoint){ 1, 90 }) > 0);
+  CU_ASSERT (tt_evidence_compare ((TtStorePoint){ 2, 10 }, (TtStorePoint){ 2, 11 }) < 0);
+  CU_ASSERT (tt_evidence_compare ((TtStorePoint){ 2, 10 }, (TtStorePoint){ 2, 10 }) == 0);
+}
+
+static const UnitTest tests[] = {
+  { "eras_count_first", eras_count_first },
+  { "removal_beside_outage_of_reader", removal_beside_outage_of_reader },
+  { "lapse_takes_two_report_intervals", lapse_takes_two_report_intervals },
+  { "lapse_in_series_of_outages", lapse_in_series_of_outages },
+  { "calm_cost_is_flat", calm_cost_is_flat },
+};
+
+UNIT_MAIN ("evidence", tests)
