fix(feed): positions and answers of an earlier era of the store do not hold

Cause: Store-Era was read nowhere. The version that took the key away got a revision that the daemons had seen, and their watches went on from there.

Change: the platform client reads the era of each answer, as digits only. Versions in force are compared in all eras, so none goes back. A daemon's own entry may be gone: it is written again, spread over the fleet at one write in 0.1 s.

Evidence: on revision_is_given_out_again and two_copies_within_seconds fail; now they pass, as do start_during_return, version_never_goes_back and the tests of late answers in control_feed.

Unit tests pass.

--- a/src/tarragontrack/board/store_defs.h
+++ b/src/tarragontrack/board/store_defs.h
@@ -101,4 +101,6 @@
   bool own_entry_current; ///< the store's entry for this daemon has the right address
   bool own_entry_exists;  ///< the store has an entry of this name, possibly with another address
   bool own_entry_listed;  ///< the list that is being read contains this daemon's entry
+  bool own_entry_renewed; ///< it is written again because the store's era changed
+  uint64_t own_entry_era; ///< era in which the store's entry was last seen or written
 } TtFeedSection;
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -332,6 +332,42 @@
     handle_call_failure (board, stream, code, now_us);
 }
 
+/// Gives up what began in an earlier era: the positions of watches and the calls in flight.
+static void
+leave_era (TtBoard *board, int64_t now_us)
+{
+  for (int kind = 0; kind < TT_STORE_KINDS; kind++)
+    if (is_watched (board, (TtStoreKind) kind))
+      tt_feed_relist (&board->feed.streams[kind], now_us);
+}
+
+/// Judges the era of an answer. RETURN the code as which the answer is handled.
+static int
+check_era (TtBoard *board, const TtPlatformEvent *event, int64_t now_us)
+{
+  bool starts_list = event->op == TT_PLATFORM_LIST && event->entries != NULL;
+  TtFeedStream *stream;
+
+  if (event->code != TT_OK && event->code != TT_E_STALE)
+    return event->code; // the era of a rejection proves nothing
+  switch (tt_evidence_check_era (board, event->era, now_us))
+    {
+    case TT_ERA_CURRENT:
+      return event->code;
+    case TT_ERA_OLD:
+      return TT_E_UNAVAILABLE;
+    case TT_ERA_NEW:
+      break;
+    }
+  // The first page of a list holds in the new era; changes since a revision of the old one do not.
+  stream = starts_list ? &board->feed.streams[event->entries->kind] : NULL;
+  starts_list = starts_list && stream->call_id == event->call_id && stream->continue_after == NULL;
+  leave_era (board, now_us);
+  if (starts_list)
+    stream->call_id = event->call_id;
+  return starts_list || event->entries == NULL ? event->code : TT_E_STALE;
+}
+
 /// Handles the result of a call: the write of this daemon's entry, or the list, the watch or the
 /// confirmation of one kind.
 static void
@@ -339,11 +375,11 @@
 {
   TtFeedSection *section = &board->feed;
   const TtPlatformEvent *result = &event->platform;
-  int code = result->code;
+  int code = check_era (board, result, now_us);
   bool known = false;
 
   if (section->own_write_call_id != 0 && result->call_id == section->own_write_call_id)
-    tt_own_entry_handle_write (board, code, now_us);
+    tt_own_entry_handle_write (board, result, code, now_us);
   for (int kind = 0; kind < TT_STORE_KINDS && result->call_id != 0; kind++)
     {
       TtFeedStream *stream = &section->streams[kind];
--- a/src/tarragontrack/control/own_entry.c
+++ b/src/tarragontrack/control/own_entry.c
@@ -3,13 +3,41 @@
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/error_defs.h"
 #include "tarragontrack/control/feed.h"
+#include "tarragontrack/control/fleet.h"
 #include <string.h>
 
 /// Delay before a failed write of this daemon's entry is retried.
 #define RETRY_US TT_SECOND_US
 
+/// Mean time between the writes of the whole fleet after the store has returned from a copy.
+#define RENEWAL_INTERVAL_US (100 * TT_MILLISECOND_US)
+
+/// Highest era in which the store's entries are known here, from the store or from the copy of
+/// another daemon.
+static uint64_t
+known_era (const TtBoard *board)
+{
+  return board->evidence.era > board->registry.point.era ? board->evidence.era
+                                                         : board->registry.point.era;
+}
+
+/// Schedules a write of the entry in a new era, in which it may be missing. The daemons learn of
+/// the era at the same time, and write at random times.
+static void
+renew_in_new_era (TtBoard *board, int64_t now_us)
+{
+  TtFeedSection *section = &board->feed;
+  uint64_t spread_us = tt_fleet_size (board) * (uint64_t) RENEWAL_INTERVAL_US;
+
+  if (!section->own_entry_current || section->own_entry_era >= known_era (board))
+    return;
+  section->own_entry_current = false;
+  section->own_entry_renewed = true;
+  section->own_write_next_us = now_us + (int64_t) tt_rng_below (&board->rng, spread_us);
+}
+
 void
-tt_own_entry_handle_write (TtBoard *board, int code, int64_t now_us)
+tt_own_entry_handle_write (TtBoard *board, const TtPlatformEvent *event, int code, int64_t now_us)
 {
   TtFeedSection *section = &board->feed;
   TtFeedStream *daemons = &section->streams[TT_STORE_DAEMONS];
@@ -25,10 +53,16 @@
     section->own_write_next_us = now_us;
   if (code != TT_OK)
     return;
+  section->own_entry_era = event->era;
   // The daemons are listed again after the entry was written. Of two daemons that start together,
-  // at least one then lists the other, which it tells its own address by a status message.
-  daemons->revision = 0;
-  daemons->next_call_us = now_us;
+  // at least one then lists the other, which it tells its own address by a status message. One that
+  // has run before a new era knows the others.
+  if (!section->own_entry_renewed)
+    {
+      daemons->revision = 0;
+      daemons->next_call_us = now_us;
+    }
+  section->own_entry_renewed = false;
 }
 
 void
@@ -45,6 +79,7 @@
       if (strcmp (entry->name, board->config.name) != 0)
         continue;
       section->own_entry_listed = true;
+      section->own_entry_era = entries->era;
       section->own_entry_exists = !entry->removed;
       section->own_entry_current = !entry->removed && entry->valid
                                    && entry->daemon.port == board->config.peer_port
@@ -62,6 +97,7 @@
 {
   TtFeedSection *section = &board->feed;
 
+  renew_in_new_era (board, now_us);
   if (section->own_write_call_id == 0 && !section->own_entry_current
       && section->streams[TT_STORE_DAEMONS].revision != 0 && now_us >= section->own_write_next_us)
     section->own_write_call_id = tt_feed_call_store (
--- a/src/tarragontrack/io/object_dialect.c
+++ b/src/tarragontrack/io/object_dialect.c
@@ -137,7 +137,8 @@
 TtPlatformDialect
 tt_object_dialect (void)
 {
-  return (TtPlatformDialect){ .encode_request = encode_request,
+  return (TtPlatformDialect){ .era_header = "Store-Era",
+                              .encode_request = encode_request,
                               .decode_response = decode_response,
                               .free_response = free_response };
 }
--- a/src/tarragontrack/io/platform_client.c
+++ b/src/tarragontrack/io/platform_client.c
@@ -33,6 +33,8 @@
   TtStoreKind kind;
   TtError error;    ///< of a call that was not sent
   uint64_t version; ///< from the ETag header of the response
+  uint64_t era;     ///< from the dialect's era header
+  bool era_is_malformed;
   unsigned status;
   size_t size;
   size_t capacity;
@@ -121,13 +123,24 @@
   return *end == '\0' && version <= INT64_MAX ? version : 0;
 }
 
+/// Parses the number of an era; 0 if there is none. RETURN false if the text has another form.
+static bool
+parse_era (const char *text, uint64_t *era)
+{
+  *era = text != NULL && text[0] != '"' ? parse_version (text) : 0;
+  return text == NULL || *era != 0 || strcmp (text, "0") == 0;
+}
+
 static void
 on_headers (void *context, TtHttpCall *http, unsigned status)
 {
   PlatformCall *call = context;
+  const char *era;
 
   call->status = status;
   call->version = parse_version (tt_http_call_get_header (http, "ETag"));
+  era = tt_http_call_get_header (http, call->client->dialect.era_header);
+  call->era_is_malformed = !parse_era (era, &call->era);
 }
 
 /// Cancels a call after a local error and delivers its event.
@@ -171,6 +184,13 @@
   call->data[call->size] = '\0';
 }
 
+/// True for a status with which the platform turns a call away, without a word about its objects.
+static bool
+is_rejection (unsigned status)
+{
+  return status == 429 || status >= 500;
+}
+
 static void
 on_end (void *context, const TtError *error)
 {
@@ -181,16 +201,23 @@
                                         .kind = call->kind,
                                         .status = call->status,
                                         .version = call->version,
+                                        .era = call->era,
                                         .data = call->data != NULL ? call->data : "",
                                         .size = call->size };
   TtEvent event = { .error = *error };
 
   event.error.step = step_of_op (call->op);
   event.platform.version = call->version;
+  event.platform.era = call->era;
   if (error->code != TT_OK)
     event.platform.code = error->code == TT_E_UNAVAILABLE                       ? TT_E_UNAVAILABLE
                           : error->code == TT_E_CRASHED && !is_write (call->op) ? TT_E_CRASHED
                                                                                 : TT_E_TIMEOUT;
+  else if (call->era_is_malformed && !is_rejection (call->status))
+    // The answer cannot be compared with others. The effect of a write is unknown.
+    event.platform.code
+        = tt_error_set (&event.error, is_write (call->op) ? TT_E_TIMEOUT : TT_E_MALFORMED,
+                        event.error.step, call->key, "the era of the answer is no number");
   else
     (void) dialect->decode_response (dialect->context, &response, &event.platform, &event.error);
   complete_call (call, &event);
--- a/src/tarragontrack/io/platform_dialect_defs.h
+++ b/src/tarragontrack/io/platform_dialect_defs.h
@@ -22,6 +22,7 @@
   TtStoreKind kind;
   unsigned status;
   uint64_t version; ///< from the ETag header; 0 = none
+  uint64_t era;     ///< from TtPlatformDialect.era_header; 0 = absent
   const char *data; ///< NUL-terminated
   size_t size;
 } TtPlatformResponse;
@@ -29,6 +30,8 @@
 typedef struct
 {
   void *context;
+  /// Response header with the number of the store's history (TtStorePoint.era).
+  const char *era_header;
   /// Encodes an action as an HTTP request. RETURN 0 or a negative error number.
   int (*encode_request) (void *context, const TtPlatformAction *action, TtPlatformRequest *request,
                          TtError *error);
--- a/src/tarragontrack/platform/names.h
+++ b/src/tarragontrack/platform/names.h
@@ -33,6 +33,8 @@
 /// Version of the weights; also the first line of an event at which it changes.
 #define TT_WIRE_WEIGHT_VERSIONS "weight-versions"
 #define TT_WIRE_RETRY_AFTER "retry-after" ///< seconds, may have a fraction
+/// In all answers of the store: number of its history, which rises when it returns from a copy.
+#define TT_WIRE_ERA_HEADER "store-era"
 
 // Object kinds of the store. Only "daemons" is written by this system.
 #define TT_WIRE_KIND_CONFIG "config"
--- a/src/tarragontrack/platform/store.c
+++ b/src/tarragontrack/platform/store.c
@@ -245,6 +245,8 @@
   root = tt_field_parse_text (response->data, response->size);
   if (has_known_form (root, response->op == TT_PLATFORM_LIST))
     event->entries = parse_entries (response, root);
+  if (event->entries != NULL)
+    event->entries->era = response->era;
   if (event->entries == NULL)
     event->code = tt_error_set (error, TT_E_MALFORMED, error->step, kind_names[response->kind],
                                 "expected entries and a revision in %zu bytes", response->size);
@@ -264,6 +266,7 @@
 tt_store_dialect (TtStoreIdentity *identity)
 {
   return (TtPlatformDialect){ .context = identity,
+                              .era_header = TT_WIRE_ERA_HEADER,
                               .encode_request = encode_request,
                               .decode_response = decode_response,
                               .free_response = free_response };
--- a/test/control/evidence_test.c
+++ b/test/control/evidence_test.c
@@ -61,6 +61,16 @@
   CU_ASSERT (routed_fleet_settle (&fleet, name, state, CHANGE_LIMIT_MS) < CHANGE_LIMIT_MS);
 }
 
+/// Lets the store return from a copy after it was away for a moment.
+static void
+return_from_copy (const RoutedFleetCopy *copy, int64_t away_ms)
+{
+  set_store (STORE_CUTS);
+  routed_fleet_advance (&fleet, away_ms);
+  set_store (STORE_SERVES);
+  routed_fleet_restore_store (&fleet, copy);
+}
+
 /// The store turns one daemon away for a moment, and a backend server removes its entry @removal_ms
 /// after the beginning of that. Expects that all daemons drop it in time.
 static void
@@ -172,6 +182,115 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against a version that no daemon reads, because the store has returned from a copy and
+/// gave its revision out again (review case 6: CONFIG).
+static void
+revision_is_given_out_again (void)
+{
+  RoutedFleetCopy copy;
+  uint64_t revision;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_configure (&fleet);
+  expect_in_time ("p1", TT_BACKEND_LIVE);
+  revision = fleet.revision;
+  return_from_copy (&copy, 120);
+  fleet.config_version += 3; // the version that was lost
+  routed_fleet_configure (&fleet);
+  CU_ASSERT_EQUAL (fleet.revision, revision);
+  expect_in_time ("p1", TT_BACKEND_LIVE);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against daemons that mistake the second copy's history for the first one's.
+static void
+two_copies_within_seconds (void)
+{
+  RoutedFleetCopy copy;
+
+  for (int64_t pause_ms = 0; pause_ms <= 2000; pause_ms += 250)
+    {
+      open_fleet ();
+      copy = routed_fleet_copy_store (&fleet);
+      routed_fleet_configure (&fleet);
+      routed_fleet_write_server (&fleet, "p1", true, false);
+      expect_in_time ("p1", TT_BACKEND_LEAVING);
+      return_from_copy (&copy, 200);
+      routed_fleet_advance (&fleet, pause_ms);
+      return_from_copy (&copy, 200);
+      routed_fleet_advance (&fleet, 1000);
+      fleet.config_version += 3;
+      routed_fleet_configure (&fleet);
+      routed_fleet_write_server (&fleet, "p2", true, false);
+      expect_in_time ("p2", TT_BACKEND_LEAVING);
+      CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_LIVE), 0);
+      routed_fleet_close (&fleet);
+    }
+}
+
+/// Guards against a version in force that is replaced by the older one of a copy, also at a daemon
+/// that starts before the operator writes again.
+static void
+version_never_goes_back (void)
+{
+  RoutedFleetCopy copy;
+  uint64_t version;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_configure (&fleet);
+  expect_in_time ("p1", TT_BACKEND_LIVE);
+  version = fleet.config_version;
+  return_from_copy (&copy, 120);
+  routed_fleet_kill (&fleet, 4);
+  routed_board_close (&fleet.daemons[4].routed);
+  routed_fleet_start (&fleet, 4);
+  for (unsigned step = 0; step < 300; step++)
+    {
+      routed_fleet_advance (&fleet, 10);
+      for (unsigned i = 0; i < DAEMONS; i++)
+        {
+          const TtRouteTable *table = fleet.daemons[i].routed.board->routes.table;
+
+          if (i != 4 || (int64_t) step * 10 >= CHANGE_LIMIT_MS)
+            CU_ASSERT (table != NULL && table->version == version);
+        }
+    }
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a daemon that starts while the store is away, returns from a copy and is away
+/// again, and serves with what is old or not at all.
+static void
+start_during_return (void)
+{
+  RoutedFleetCopy copy;
+
+  for (int64_t start_ms = 0; start_ms <= 900; start_ms += 300)
+    {
+      open_fleet ();
+      copy = routed_fleet_copy_store (&fleet);
+      routed_fleet_configure (&fleet);
+      routed_fleet_write_server (&fleet, "p1", true, false);
+      expect_in_time ("p1", TT_BACKEND_LEAVING);
+      routed_fleet_kill (&fleet, 2);
+      routed_board_close (&fleet.daemons[2].routed);
+      set_store (STORE_CUTS);
+      routed_fleet_advance (&fleet, start_ms);
+      routed_fleet_start (&fleet, 2);
+      fleet.daemons[2].store = STORE_CUTS;
+      routed_fleet_advance (&fleet, 300);
+      return_from_copy (&copy, 100);
+      routed_fleet_advance (&fleet, 500);
+      fleet.config_version += 3;
+      routed_fleet_configure (&fleet);
+      routed_fleet_write_server (&fleet, "p1", true, false);
+      expect_in_time ("p1", TT_BACKEND_LEAVING);
+      routed_fleet_close (&fleet);
+    }
+}
+
 /// Store calls of a fleet of the given size in 20 s without changes.
 static unsigned
 count_calm_calls (unsigned count)
@@ -214,6 +333,10 @@
   { "removal_beside_outage_of_reader", removal_beside_outage_of_reader },
   { "lapse_takes_two_report_intervals", lapse_takes_two_report_intervals },
   { "lapse_in_series_of_outages", lapse_in_series_of_outages },
+  { "revision_is_given_out_again", revision_is_given_out_again },
+  { "two_copies_within_seconds", two_copies_within_seconds },
+  { "version_never_goes_back", version_never_goes_back },
+  { "start_during_return", start_during_return },
   { "calm_cost_is_flat", calm_cost_is_flat },
 };
 
--- a/test/control/feed_test.c
+++ b/test/control/feed_test.c
@@ -2,6 +2,7 @@
 #include "support/unit.h"
 #include "tarragontrack/board/error_defs.h"
 #include "tarragontrack/board/route.h"
+#include "tarragontrack/control/feed.h"
 #include <string.h>
 
 static RoutedBoard routed;
@@ -262,6 +263,106 @@
   };
 }
 
+/// Guards against applying what a watch from a revision of the old era returns in the new one, and
+/// against going on from there: the store has given the revision to other content.
+static void
+watch_in_new_era (void)
+{
+  TtPlatformAction call = open_watching_reader ();
+  TtStoreEntry entry;
+  TtStoreEntries changes = new_config_change (&entry, 5, 12);
+
+  era = 2;
+  respond (&call, TT_OK, &changes);
+  CU_ASSERT_PTR_NULL (routed.board->routes.table);
+  call = next_store_call (TT_STORE_CONFIG);
+  CU_ASSERT_EQUAL (call.op, TT_PLATFORM_LIST);
+  changes.is_list = true;
+  changes.discarded = false;
+  respond (&call, TT_OK, &changes);
+  UNIT_REQUIRE (routed.board->routes.table != NULL);
+  CU_ASSERT_EQUAL (routed.board->routes.table->version, 5);
+  tt_route_table_free (entry.table);
+  routed_board_close (&routed);
+}
+
+/// Guards against an answer that was given before the store returned from a copy and arrives after
+/// an answer of the new era, in time or after its call was given up.
+static void
+late_answer_of_old_era (void)
+{
+  TtPlatformAction watch = open_watching_reader ();
+  TtPlatformAction list;
+  TtStoreEntry none = { 0 };
+  TtStoreEntry entry;
+  TtStoreEntries empty
+      = { .kind = TT_STORE_SERVERS, .entries = &none, .is_list = true, .revision = 9 };
+  TtStoreEntries old;
+
+  routed_board_advance (&routed, 700);
+  tt_feed_relist (&routed.board->feed.streams[TT_STORE_SERVERS], routed.now_us);
+  routed_board_advance (&routed, 50);
+  list = next_store_call (TT_STORE_SERVERS);
+  era = 2;
+  respond (&list, TT_OK, &empty);
+  // The watch of the old era was given up.
+  era = 1;
+  old = new_config_change (&entry, 5, 12);
+  respond (&watch, TT_OK, &old);
+  CU_ASSERT (old.discarded);
+  tt_route_table_free (entry.table);
+  // The list that replaced it is answered by a delayed answer of the old era.
+  list = next_store_call (TT_STORE_CONFIG);
+  old = new_config_change (&entry, 5, 12);
+  old.is_list = true;
+  respond (&list, TT_OK, &old);
+  CU_ASSERT (old.discarded);
+  CU_ASSERT_PTR_NULL (routed.board->routes.table);
+  tt_route_table_free (entry.table);
+  // The call is repeated.
+  era = 2;
+  routed_board_advance (&routed, 500);
+  list = next_store_call (TT_STORE_CONFIG);
+  CU_ASSERT_EQUAL (list.op, TT_PLATFORM_LIST);
+  old = new_config_change (&entry, 6, 8);
+  old.is_list = true;
+  respond (&list, TT_OK, &old);
+  UNIT_REQUIRE (routed.board->routes.table != NULL);
+  CU_ASSERT_EQUAL (routed.board->routes.table->version, 6);
+  tt_route_table_free (entry.table);
+  routed_board_close (&routed);
+}
+
+/// Guards against a list whose pages are of two eras.
+static void
+era_changes_between_pages (void)
+{
+  TtStoreEntry none = { 0 };
+  TtStoreEntries page = { .kind = TT_STORE_SERVERS,
+                          .entries = &none,
+                          .is_list = true,
+                          .has_more = true,
+                          .continue_after = "m",
+                          .revision = 10 };
+  TtPlatformAction call;
+
+  open_reader ();
+  era = 1;
+  routed_board_advance (&routed, 50);
+  call = next_store_call (TT_STORE_SERVERS);
+  respond (&call, TT_OK, &page);
+  call = next_store_call (TT_STORE_SERVERS);
+  CU_ASSERT_PTR_NOT_NULL (call.continue_after);
+  era = 2;
+  page.has_more = false;
+  respond (&call, TT_OK, &page);
+  CU_ASSERT (page.discarded);
+  call = next_store_call (TT_STORE_SERVERS);
+  CU_ASSERT_EQUAL (call.op, TT_PLATFORM_LIST);
+  CU_ASSERT_PTR_NULL (call.continue_after);
+  routed_board_close (&routed);
+}
+
 /// Guards against a watch whose lost answer is found out only when its wait ends.
 static void
 lost_watch_is_renewed (void)
@@ -338,6 +439,9 @@
   { "unreadable_watches_back_off", unreadable_watches_back_off },
   { "own_entry_is_registered", own_entry_is_registered },
   { "lost_watch_is_renewed", lost_watch_is_renewed },
+  { "watch_in_new_era", watch_in_new_era },
+  { "late_answer_of_old_era", late_answer_of_old_era },
+  { "era_changes_between_pages", era_changes_between_pages },
 };
 
 UNIT_MAIN ("feed", tests)
--- a/test/io/platform_client_test.c
+++ b/test/io/platform_client_test.c
@@ -24,6 +24,7 @@
   uint64_t version;
   bool unchanged;
   bool has_object;
+  uint64_t era;
 } CallCase;
 
 typedef struct
@@ -81,6 +82,25 @@
     TT_OK, 8, false, true },
   { TT_PLATFORM_HOSTS, "north 1", "GET /hosts?domain=north%201 HTTP", "If-None-Match: 5\r\n", 200,
     "ETag: 6\r\n", "{\"hosts\":[]}", TT_OK, 6, false, true },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200, "ETag: 7\r\nStore-Era: 3\r\n",
+    ACCEPTED_JSON, TT_OK, 7, false, true, .era = 3 },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 404, "Store-Era: 4\r\n", "",
+    TT_E_NOT_FOUND, 0, false, false, .era = 4 },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 503, "Store-Era: x\r\n", "",
+    TT_E_UNAVAILABLE, 0, false, false },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200, "ETag: 7\r\nStore-Era: 0\r\n",
+    ACCEPTED_JSON, TT_OK, 7, false, true },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200, "ETag: 7\r\nStore-Era: 3x\r\n",
+    ACCEPTED_JSON, TT_E_MALFORMED, 7, false, false },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200, "ETag: 7\r\nStore-Era: -3\r\n",
+    ACCEPTED_JSON, TT_E_MALFORMED, 7, false, false },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200,
+    "ETag: 7\r\nStore-Era: \"3\"\r\n", ACCEPTED_JSON, TT_E_MALFORMED, 7, false, false },
+  { TT_PLATFORM_GET, "config/accepted", "GET /objects/", NULL, 200,
+    "ETag: 7\r\nStore-Era: 99999999999999999999\r\n", ACCEPTED_JSON, TT_E_MALFORMED, 7, false,
+    false },
+  { TT_PLATFORM_PUT, "config/accepted", "PUT /objects/", NULL, 200, "ETag: 6\r\nStore-Era: 1 2\r\n",
+    "", TT_E_TIMEOUT, 6, false, false },
 };
 
 static void
@@ -119,6 +139,7 @@
   CU_ASSERT_EQUAL (event->platform.op, current_case->op);
   CU_ASSERT_EQUAL (event->platform.code, current_case->code);
   CU_ASSERT_EQUAL (event->platform.version, current_case->version);
+  CU_ASSERT_EQUAL (event->platform.era, current_case->era);
   CU_ASSERT_EQUAL (event->platform.unchanged, current_case->unchanged);
   CU_ASSERT_EQUAL (event->platform.object != NULL, current_case->has_object);
   if (event->platform.object != NULL && current_case->op != TT_PLATFORM_HOSTS)
--- a/test/platform/store_test.c
+++ b/test/platform/store_test.c
@@ -23,6 +23,7 @@
                                   .key = "servers",
                                   .kind = TT_STORE_SERVERS,
                                   .status = status,
+                                  .era = 3,
                                   .data = text,
                                   .size = strlen (text) };
   TtError error = { 0 };
@@ -173,6 +174,21 @@
   CU_ASSERT_PTR_NULL (event.entries);
 }
 
+/// Guards against entries whose revisions are compared with those of another era.
+static void
+test_entries_have_era (void)
+{
+  TtPlatformDialect dialect = tt_store_dialect (&identity);
+  TtPlatformEvent event;
+
+  CU_ASSERT_STRING_EQUAL (dialect.era_header, "store-era");
+  CU_ASSERT_EQUAL (decode_servers (TT_PLATFORM_LIST, 200, "{\"Entries\":[],\"AsOf\":530}", &event),
+                   TT_OK);
+  UNIT_REQUIRE (event.entries != NULL);
+  CU_ASSERT_EQUAL (event.entries->era, 3);
+  free_event (&event);
+}
+
 /// Decodes a list of three entries, of which the second one has a given spec, and requires that the
 /// others hold. RETURN whether the second one names a backend server.
 static bool
@@ -378,6 +394,7 @@
   { "list_with_malformed_entries", test_list_with_malformed_entries },
   { "watch_removal", test_watch_removal },
   { "error_responses", test_error_responses },
+  { "entries_have_era", test_entries_have_era },
   { "deeply_nested_entry", test_deeply_nested_entry },
   { "entry_with_excessive_numbers", test_entry_with_excessive_numbers },
   { "entry_with_port_out_of_range", test_entry_with_port_out_of_range },
