fix(reader): a reader whose call has no answer does not pass for current

Cause: a reader counted as healthy while its watch waits, and a call without an answer only after its time-out and further failures.

Change: a reader whose call that should return at once has had no answer for a quarter of the time for a change says that it does not read; the next daemon of the failure domain starts. All parts of that time come from the manifest's bounds (docs/decisions/store-beliefs.md).

Unit tests pass.

--- a/src/tarragontrack/control/evidence.c
+++ b/src/tarragontrack/control/evidence.c
@@ -8,9 +8,11 @@
 /// Report intervals after the last steady service within which no entry lapses.
 #define INTERVALS_WITHOUT_LAPSE 2
 
-/// Part of the time for a change until a copy is confirmed.
+/// Parts of the time for a change: until a copy is confirmed, and until a missing answer to that
+/// makes way for another reader. The rest is for that reader's start and its lists.
 #define CONFIRM_DIVISOR 3
 #define CONFIRM_DELAY_DIVISOR 8 ///< for those that wait for another daemon's statement
+#define ANSWER_DIVISOR 4
 
 static int
 compare (uint64_t first, uint64_t second)
@@ -200,3 +202,13 @@
   return limit_us / CONFIRM_DIVISOR
          + (tt_evidence_confirms_first (board) ? 0 : limit_us / CONFIRM_DELAY_DIVISOR);
 }
+
+bool
+tt_evidence_is_unconfirmed (const TtBoard *board, const TtFeedStream *stream, int64_t now_us)
+{
+  int64_t answer_us = tt_evidence_change_limit_us (board) / ANSWER_DIVISOR;
+
+  return (stream->confirm_call_id != 0 && now_us - stream->confirm_started_us >= answer_us)
+         || (stream->call_id != 0 && !stream->watch_waits
+             && now_us - stream->call_started_us >= answer_us);
+}
--- a/src/tarragontrack/control/evidence.h
+++ b/src/tarragontrack/control/evidence.h
@@ -72,3 +72,10 @@
 
 /// True if this daemon reads the store and none with a lower id does.
 bool tt_evidence_confirms_first (const TtBoard *board);
+
+/// tt_evidence_is_unconfirmed - whether a copy is too old to pass for current
+///
+/// ARGUMENTS  stream: a kind that this daemon watches
+/// RETURN     true if a call that should return at once has no answer for so long that another
+///            daemon has to read in time for the changes that this one may miss
+bool tt_evidence_is_unconfirmed (const TtBoard *board, const TtFeedStream *stream, int64_t now_us);
--- a/src/tarragontrack/control/reader.c
+++ b/src/tarragontrack/control/reader.c
@@ -41,6 +41,7 @@
   return tt_evidence_change_limit_us (board) / SILENCE_DIVISOR;
 }
 
+/// True if calls fail or are not answered: the copy that this daemon passes on may be out of date.
 static bool
 calls_fail (const TtBoard *board, int64_t now_us)
 {
@@ -48,8 +49,9 @@
     {
       const TtFeedStream *stream = &board->feed.streams[watched_kinds[i]];
 
-      if (stream->failing_since_us != 0
-          && now_us - stream->failing_since_us >= silence_us (board) / FAILING_DIVISOR)
+      if ((stream->failing_since_us != 0
+           && now_us - stream->failing_since_us >= silence_us (board) / FAILING_DIVISOR)
+          || tt_evidence_is_unconfirmed (board, stream, now_us))
         return true;
     }
   return false;
--- a/test/control/evidence_test.c
+++ b/test/control/evidence_test.c
@@ -26,6 +26,12 @@
     UNIT_REQUIRE (routed_fleet_reader (&fleet, domain) >= 0);
 }
 
+static bool
+is_reader (unsigned index)
+{
+  return routed_fleet_reader (&fleet, index % DOMAINS) == (int) index;
+}
+
 static void
 set_store (StoreMode mode)
 {
@@ -203,6 +209,62 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against followers that learn of no change because the store is silent to their readers,
+/// all of whose watches wait (review case 8, grown/raagmala-sync-grown trouble-1: CONFIG).
+static void
+store_is_silent_to_readers (void)
+{
+  bool silent[DAEMONS];
+
+  open_fleet ();
+  for (unsigned i = 0; i < DAEMONS; i++)
+    silent[i] = is_reader (i);
+  for (unsigned i = 0; i < DAEMONS; i++)
+    if (silent[i])
+      fleet.daemons[i].store = STORE_LOSES;
+  routed_fleet_advance (&fleet, 500);
+  routed_fleet_configure (&fleet);
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  expect_in_time ("p1", TT_BACKEND_LEAVING);
+  set_store (STORE_SERVES);
+  routed_fleet_advance (&fleet, 5000);
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    CU_ASSERT (routed_fleet_reader (&fleet, domain) >= 0);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a store that is silent to one group of daemons after the other: to followers, to
+/// one failure domain, to each reader in turn. Those that it serves get each change in time.
+static void
+store_is_silent_by_turns (void)
+{
+  open_fleet ();
+  for (unsigned turn = 0; turn < 6; turn++)
+    {
+      bool leaving = turn % 2 == 0;
+      int64_t ms = 0;
+
+      for (unsigned i = 0; i < DAEMONS; i++)
+        {
+          bool silent = turn < 2   ? !is_reader (i)
+                        : turn < 4 ? i % DOMAINS == turn - 2
+                                   : is_reader (i);
+
+          fleet.daemons[i].store = silent ? STORE_LOSES : STORE_SERVES;
+        }
+      routed_fleet_advance (&fleet, 300);
+      routed_fleet_configure (&fleet);
+      routed_fleet_write_server (&fleet, "p1", leaving, false);
+      ms = routed_fleet_settle (&fleet, "p1", leaving ? TT_BACKEND_LEAVING : TT_BACKEND_LIVE,
+                                CHANGE_LIMIT_MS);
+      CU_ASSERT (ms < CHANGE_LIMIT_MS);
+      routed_fleet_advance (&fleet, 1500);
+      set_store (STORE_SERVES);
+      routed_fleet_advance (&fleet, SETTLE_MS);
+    }
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against daemons that mistake the second copy's history for the first one's.
 static void
 two_copies_within_seconds (void)
@@ -334,6 +396,8 @@
   { "lapse_takes_two_report_intervals", lapse_takes_two_report_intervals },
   { "lapse_in_series_of_outages", lapse_in_series_of_outages },
   { "revision_is_given_out_again", revision_is_given_out_again },
+  { "store_is_silent_to_readers", store_is_silent_to_readers },
+  { "store_is_silent_by_turns", store_is_silent_by_turns },
   { "two_copies_within_seconds", two_copies_within_seconds },
   { "version_never_goes_back", version_never_goes_back },
   { "start_during_return", start_during_return },
