fix(registry): entries of different eras are not compared by revision

Cause: the registry compared revisions of two eras. An entry that was written again in the new era had a lower revision than the one known before, and was taken for an older copy; so was its removal.

Change: entries, lists, changes and copies between daemons carry points (era and revision), compared in one place. An entry of a new era replaces what was known, but does not bring back a process that was known to leave or to have left: the copy may be older than that. Such a process counts as leaving until it shows a change in the new era, or, if its entry was gone, until the store would have dropped an entry without reports.

Evidence: on entry_has_lower_revision_after_copy, server_left_in_lost_seconds, live_server_is_used_again, server_came_in_lost_seconds, readers_in_different_eras and new_era_costs_few_calls fail; now they pass.

Unit tests pass.

--- a/src/tarragontrack/control/fleet_copies.c
+++ b/src/tarragontrack/control/fleet_copies.c
@@ -112,7 +112,9 @@
       entry->server.port = backend->port;
       entry->server.domain_id = backend->domain_id;
       entry->server.slots = backend->registry.slots;
-      entry->server.leaving = backend->roster.state == TT_BACKEND_LEAVING;
+      // A receiver that knows that the process has left holds it, too.
+      entry->server.leaving
+          = backend->roster.state == TT_BACKEND_LEAVING && backend->registry.held_until_us == 0;
       entry->server.process_start_ms = backend->registry.process_start_ms;
     }
 }
--- a/src/tarragontrack/control/registry.c
+++ b/src/tarragontrack/control/registry.c
@@ -5,22 +5,76 @@
 #include "tarragontrack/control/evidence.h"
 #include "tarragontrack/control/notice.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+/// Report intervals without a report after which the store drops an entry.
+#define INTERVALS_TO_LAPSE 3
+
 static int
 open_registry (void *context, TtBoard *board)
 {
   (void) context;
+  tt_list_init (&board->registry.departures);
   return tt_backend_open (board);
 }
 
 static void
 close_registry (void *context, TtBoard *board)
 {
+  TtLink *link;
+
   (void) context;
+  while ((link = tt_list_pop (&board->registry.departures)) != NULL)
+    free (TT_CONTAINER_OF (link, TtDeparture, link));
   tt_backend_close (board);
 }
 
+static TtDeparture *
+find_departure (const TtBoard *board, const TtBackendServer *backend)
+{
+  TT_LIST_FOREACH (&board->registry.departures, it)
+    {
+      TtDeparture *departure = TT_CONTAINER_OF (it, TtDeparture, link);
+
+      if (departure->backend_id == backend->id
+          && departure->process_start_ms == backend->registry.process_start_ms)
+        return departure;
+    }
+  return NULL;
+}
+
+static void
+forget_departure (TtBoard *board, TtDeparture *departure)
+{
+  if (departure == NULL)
+    return;
+  tt_list_remove (&board->registry.departures, &departure->link);
+  free (departure);
+}
+
+/// Remembers the process of a backend server whose entry was removed. A copy of the store from
+/// before that may show the entry again.
+static void
+record_departure (TtBoard *board, const TtBackendServer *backend)
+{
+  TtList *departures = &board->registry.departures;
+  TtDeparture *departure;
+
+  forget_departure (board, find_departure (board, backend));
+  if (departures->count == TT_MAX_DEPARTURES)
+    departure = TT_CONTAINER_OF (tt_list_pop (departures), TtDeparture, link);
+  else
+    departure = malloc (sizeof *departure);
+  if (departure == NULL)
+    return;
+  *departure = (TtDeparture){ .backend_id = backend->id,
+                              .process_start_ms = backend->registry.process_start_ms,
+                              .point = backend->registry.point };
+  tt_link_init (&departure->link);
+  tt_list_append (departures, &departure->link);
+}
+
 static void
 set_state (TtBoard *board, TtBackendServer *backend, TtBackendState state, const char *cause,
            int64_t now_us)
@@ -31,6 +85,8 @@
 
   if (backend->roster.state == state && backend->roster.changed_us != 0)
     return;
+  if (state == TT_BACKEND_GONE)
+    record_departure (board, backend);
   backend->roster.state = state;
   backend->roster.changed_us = now_us;
   tt_board_log (board, event, "backend=%s service=%s address=%s:%u era=%llu revision=%llu cause=%s",
@@ -63,6 +119,53 @@
   memset (&backend->recovery, 0, sizeof backend->recovery);
 }
 
+/// True if an entry shows a process in a state that it had before it left: the store has returned
+/// from a copy that is older than that.
+static bool
+precedes_departure (const TtBoard *board, const TtBackendServer *backend, TtStorePoint point)
+{
+  const TtDeparture *departure = find_departure (board, backend);
+
+  return departure != NULL && point.era > departure->point.era
+         && point.revision <= departure->point.revision;
+}
+
+/// Time at which the store has dropped the entry of a process that no longer reports, if it showed
+/// that entry in a new era.
+static int64_t
+expiry_in_new_era_us (const TtBoard *board, int64_t now_us)
+{
+  const TtBounds *bounds = &board->config.bounds;
+
+  return now_us
+         + (bounds->settle_ms + INTERVALS_TO_LAPSE * (int64_t) bounds->report_ms)
+               * TT_MILLISECOND_US;
+}
+
+/// Decides until when a process that is listed as live counts as leaving, because it was known to
+/// leave, or to have left, before the store returned from an older copy. Within an era, the newest
+/// entry decides.
+static void
+update_hold (TtBoard *board, TtBackendServer *backend, TtStorePoint point, bool same_process,
+             int64_t now_us)
+{
+  TtRegistryBackend *registry = &backend->registry;
+
+  if (same_process && registry->held_until_us != 0
+      && tt_evidence_compare (point, registry->point) == 0)
+    return;
+  if (precedes_departure (board, backend, point))
+    registry->held_until_us = expiry_in_new_era_us (board, now_us);
+  else if (same_process && backend->roster.state == TT_BACKEND_LEAVING
+           && point.era > registry->point.era)
+    registry->held_until_us = INT64_MAX;
+  else
+    {
+      registry->held_until_us = 0;
+      forget_departure (board, find_departure (board, backend));
+    }
+}
+
 static void
 move_to_pool (TtBackendServer *backend, TtPool *pool)
 {
@@ -83,6 +186,7 @@
   uint64_t id = tt_hash_string (entry->name);
   TtBackendServer *backend = tt_backend_find (board, id);
   TtPool *pool = find_or_create_pool (board, entry->server.service);
+  bool same_process;
 
   if (pool == NULL)
     return;
@@ -92,7 +196,8 @@
     return;
   if (tt_evidence_compare (point, backend->registry.point) < 0)
     return; // another daemon's copy may be older
-  if (backend->registry.process_start_ms != entry->server.process_start_ms)
+  same_process = backend->registry.process_start_ms == entry->server.process_start_ms;
+  if (!same_process)
     reset_process_state (backend);
   (void) snprintf (backend->address, sizeof backend->address, "%s", entry->server.address);
   backend->port = entry->server.port;
@@ -100,6 +205,10 @@
   backend->registry.process_start_ms = entry->server.process_start_ms;
   backend->notice.unavailable_until_us
       = tt_notice_unavailable_until_us (board, id, entry->server.process_start_ms);
+  if (entry->server.leaving)
+    backend->registry.held_until_us = 0;
+  else
+    update_hold (board, backend, point, same_process, now_us);
   backend->registry.point = point;
   backend->registry.slots = entry->server.slots;
   backend->registry.missing_since_us = 0;
@@ -109,6 +218,8 @@
     set_state (board, backend, TT_BACKEND_LEAVING, from_peer ? "copy" : "entry", now_us);
   else if (tt_notice_is_leaving (board, id, entry->server.process_start_ms))
     set_state (board, backend, TT_BACKEND_LEAVING, "answer", now_us);
+  else if (backend->registry.held_until_us != 0)
+    set_state (board, backend, TT_BACKEND_LEAVING, "left in an earlier era", now_us);
   else
     set_state (board, backend, TT_BACKEND_LIVE, from_peer ? "copy" : "entry", now_us);
 }
@@ -168,7 +279,7 @@
              int64_t now_us)
 {
   TtRegistrySection *section = &board->registry;
-  TtStorePoint point = { .revision = entry->revision };
+  TtStorePoint point = { .era = entries->era, .revision = entry->revision };
   TtBackendServer *backend;
 
   if (tt_evidence_compare (point, section->change) > 0)
@@ -195,7 +306,7 @@
 apply_entries (TtBoard *board, const TtStoreEntries *entries, int64_t now_us)
 {
   TtRegistrySection *section = &board->registry;
-  TtStorePoint point = { .revision = entries->revision };
+  TtStorePoint point = { .era = entries->era, .revision = entries->revision };
 
   if (entries->is_list && entries->is_first_page)
     TT_LIST_FOREACH (&board->backends.all, it)
@@ -224,19 +335,22 @@
 }
 
 /// True if entries apply to this daemon's list. Another daemon's copy is adopted only if it is
-/// newer, and its changes only if none is missing between them and this daemon's list.
+/// newer, and its changes only if none is missing between them and this daemon's list. What the
+/// store says is refused only if it is of an earlier era than the list, or consists of changes of a
+/// later one.
 static bool
 is_applicable (const TtBoard *board, const TtStoreEntries *entries)
 {
   const TtRegistrySection *section = &board->registry;
-  TtStorePoint point = { .revision = entries->revision };
+  TtStorePoint point = { .era = entries->era, .revision = entries->revision };
 
   if (!entries->from_peer)
-    return true;
+    return entries->is_list ? point.era >= section->point.era : point.era == section->point.era;
   if (tt_evidence_compare (point, section->point) <= 0)
     return false;
   return entries->is_list
-         || (section->complete && entries->base_revision <= section->point.revision);
+         || (section->complete && point.era == section->point.era
+             && entries->base_revision <= section->point.revision);
 }
 
 static void
@@ -273,6 +387,12 @@
       registry->missing_since_us = 0;
       set_state (board, backend, TT_BACKEND_GONE, "lapsed", now_us);
     }
+  if (registry->held_until_us != 0 && now_us >= registry->held_until_us)
+    {
+      registry->held_until_us = 0;
+      forget_departure (board, find_departure (board, backend));
+      set_state (board, backend, TT_BACKEND_LIVE, "still listed", now_us);
+    }
 }
 
 static void
--- a/test/control/evidence_test.c
+++ b/test/control/evidence_test.c
@@ -209,6 +209,28 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against ignoring the entry of a backend server because it had a higher revision before
+/// the store returned from a copy (review case 9: DRAIN).
+static void
+entry_has_lower_revision_after_copy (void)
+{
+  RoutedFleetCopy copy;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  for (unsigned i = 0; i < 3; i++)
+    routed_fleet_write_server (&fleet, "p1", false, false);
+  routed_fleet_advance (&fleet, CHANGE_LIMIT_MS);
+  return_from_copy (&copy, 500);
+  routed_fleet_write_server (&fleet, "p1", false, false);
+  routed_fleet_advance (&fleet, 5000);
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  expect_in_time ("p1", TT_BACKEND_LEAVING);
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  expect_in_time ("p1", TT_BACKEND_GONE);
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against followers that learn of no change because the store is silent to their readers,
 /// all of whose watches wait (review case 8, grown/raagmala-sync-grown trouble-1: CONFIG).
 static void
@@ -322,6 +344,116 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against requests to a backend server that left in the seconds which the store lost: a
+/// copy from before that lists it as live again.
+static void
+server_left_in_lost_seconds (void)
+{
+  RoutedFleetCopy copy;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  routed_fleet_write_server (&fleet, "p2", false, true);
+  expect_in_time ("p1", TT_BACKEND_LEAVING);
+  expect_in_time ("p2", TT_BACKEND_GONE);
+  return_from_copy (&copy, 120);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      routed_fleet_advance (&fleet, 100);
+      CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_LIVE), 0);
+      CU_ASSERT_EQUAL (count_in_state ("p2", TT_BACKEND_LIVE), 0);
+    }
+  // Both write again what they wrote before.
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  routed_fleet_write_server (&fleet, "p2", false, true);
+  expect_in_time ("p1", TT_BACKEND_LEAVING);
+  expect_in_time ("p2", TT_BACKEND_GONE);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a backend server that never gets requests again, because its entry had lapsed in
+/// the seconds which the store lost, and writing it again changes nothing.
+static void
+live_server_is_used_again (void)
+{
+  RoutedFleetCopy copy;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  expect_in_time ("p1", TT_BACKEND_GONE);
+  return_from_copy (&copy, 120);
+  routed_fleet_advance (&fleet, SETTLE_MS + 3 * REPORT_MS + CHANGE_LIMIT_MS);
+  CU_ASSERT_EQUAL (count_in_state ("p1", TT_BACKEND_LIVE), DAEMONS);
+  routed_fleet_close (&fleet);
+
+  // A write in the new era shows at once that it is alive.
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_write_server (&fleet, "p1", false, true);
+  expect_in_time ("p1", TT_BACKEND_GONE);
+  return_from_copy (&copy, 120);
+  routed_fleet_advance (&fleet, 500);
+  routed_fleet_write_server (&fleet, "p1", false, false);
+  expect_in_time ("p1", TT_BACKEND_LIVE);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against dropping a backend server that came in the lost seconds and registers again, and
+/// against keeping one that does not.
+static void
+server_came_in_lost_seconds (void)
+{
+  RoutedFleetCopy copy;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_write_server (&fleet, "p5", false, false);
+  routed_fleet_write_server (&fleet, "p6", false, false);
+  expect_in_time ("p6", TT_BACKEND_LIVE);
+  return_from_copy (&copy, 120);
+  routed_fleet_advance (&fleet, 1500);
+  CU_ASSERT_EQUAL (count_in_state ("p5", TT_BACKEND_LIVE), DAEMONS);
+  CU_ASSERT_EQUAL (count_in_state ("p6", TT_BACKEND_LIVE), DAEMONS);
+  routed_fleet_write_server (&fleet, "p5", false, false);
+  routed_fleet_advance (&fleet, SETTLE_MS);
+  CU_ASSERT_EQUAL (count_in_state ("p5", TT_BACKEND_LIVE), DAEMONS);
+  CU_ASSERT_EQUAL (count_in_state ("p6", TT_BACKEND_GONE), DAEMONS);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a fleet that stays divided while some readers still have the history before the
+/// copy: their connections are open, and the store is silent to them.
+static void
+readers_in_different_eras (void)
+{
+  RoutedFleetCopy copy;
+  int reader;
+
+  open_fleet ();
+  copy = routed_fleet_copy_store (&fleet);
+  routed_fleet_write_server (&fleet, "p3", false, false);
+  routed_fleet_configure (&fleet);
+  expect_in_time ("p3", TT_BACKEND_LIVE);
+  reader = routed_fleet_reader (&fleet, 1);
+  fleet.daemons[reader].store = STORE_LOSES;
+  routed_fleet_advance (&fleet, 10);
+  for (unsigned i = 0; i < ROUTED_FLEET_CALLS; i++)
+    fleet.daemons[reader].calls[i].lost = true;
+  return_from_copy (&copy, 200);
+  fleet.daemons[reader].store = STORE_LOSES;
+  fleet.config_version += 3;
+  routed_fleet_configure (&fleet);
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  expect_in_time ("p1", TT_BACKEND_LEAVING);
+  set_store (STORE_SERVES);
+  routed_fleet_advance (&fleet, 2000);
+  routed_fleet_write_server (&fleet, "p2", true, false);
+  expect_in_time ("p2", TT_BACKEND_LEAVING);
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against a daemon that starts while the store is away, returns from a copy and is away
 /// again, and serves with what is old or not at all.
 static void
@@ -353,6 +485,32 @@
     }
 }
 
+/// Load pattern: a whole fleet learns of a new era at one moment. Guards against lists and writes
+/// of all daemons at once, and against entries of daemons that stay missing.
+static void
+new_era_costs_few_calls (void)
+{
+  RoutedFleetCopy copy;
+  unsigned listed = 0;
+
+  routed_fleet_open (&fleet, 48, DOMAINS);
+  copy = routed_fleet_copy_store (&fleet); // without the daemons' entries
+  routed_fleet_advance (&fleet, 10000);
+  (void) routed_fleet_count_calls (&fleet);
+  (void) routed_fleet_count_lists (&fleet);
+  return_from_copy (&copy, 50);
+  routed_fleet_advance (&fleet, 1000);
+  CU_ASSERT (routed_fleet_count_lists (&fleet) <= DOMAINS * 2);
+  // The readers' lists and watches, and the first of the writes, 10 of which begin in a second.
+  CU_ASSERT (routed_fleet_count_calls (&fleet) <= DOMAINS * (2 + 4 + 4) + 2 * 2 * 10);
+  routed_fleet_advance (&fleet, 8000);
+  for (unsigned i = 0; i < 48; i++)
+    listed += fleet.daemons[i].listed;
+  CU_ASSERT_EQUAL (listed, 48);
+  CU_ASSERT_EQUAL (routed_fleet_count_lists (&fleet), 0);
+  routed_fleet_close (&fleet);
+}
+
 /// Store calls of a fleet of the given size in 20 s without changes.
 static unsigned
 count_calm_calls (unsigned count)
@@ -396,11 +554,17 @@
   { "lapse_takes_two_report_intervals", lapse_takes_two_report_intervals },
   { "lapse_in_series_of_outages", lapse_in_series_of_outages },
   { "revision_is_given_out_again", revision_is_given_out_again },
+  { "entry_has_lower_revision_after_copy", entry_has_lower_revision_after_copy },
   { "store_is_silent_to_readers", store_is_silent_to_readers },
   { "store_is_silent_by_turns", store_is_silent_by_turns },
   { "two_copies_within_seconds", two_copies_within_seconds },
   { "version_never_goes_back", version_never_goes_back },
+  { "server_left_in_lost_seconds", server_left_in_lost_seconds },
+  { "live_server_is_used_again", live_server_is_used_again },
+  { "server_came_in_lost_seconds", server_came_in_lost_seconds },
+  { "readers_in_different_eras", readers_in_different_eras },
   { "start_during_return", start_during_return },
+  { "new_era_costs_few_calls", new_era_costs_few_calls },
   { "calm_cost_is_flat", calm_cost_is_flat },
 };
 
