test(evidence): watches that were lost in a silent outage

Cause: a watch that waits was believed to deliver for as long as it waits, up to 21 s. Its answer was lost in the outage.

--- a/test/control/evidence_test.c
+++ b/test/control/evidence_test.c
@@ -255,6 +255,46 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against watches that wait on after a silent outage in which their answers were lost: a
+/// change in calm then reaches nobody (review case 7, soak seeds 2, 4 and 6: CONFIG).
+static void
+watches_are_lost_in_calm (void)
+{
+  open_fleet ();
+  set_store (STORE_LOSES);
+  routed_fleet_advance (&fleet, 1000);
+  routed_fleet_configure (&fleet);
+  routed_fleet_advance (&fleet, 2000);
+  set_store (STORE_SERVES);
+  routed_fleet_advance (&fleet, 4500);
+  routed_fleet_configure (&fleet);
+  expect_in_time ("p1", TT_BACKEND_LIVE);
+  routed_fleet_close (&fleet);
+}
+
+/// Guards against a short silent outage that ends right before a write, so that no call has failed.
+static void
+silence_ends_before_write (void)
+{
+  for (int64_t silent_ms = 100; silent_ms <= 1300; silent_ms += 300)
+    for (int64_t pause_ms = 0; pause_ms <= 400; pause_ms += 100)
+      {
+        open_fleet ();
+        set_store (STORE_LOSES);
+        routed_fleet_advance (&fleet, silent_ms / 2);
+        routed_fleet_write_server (&fleet, "p2", false, false); // its answer to the watches is lost
+        routed_fleet_configure (&fleet);
+        routed_fleet_advance (&fleet, silent_ms / 2);
+        set_store (STORE_SERVES);
+        // The bounds hold again after the settling time.
+        routed_fleet_advance (&fleet, SETTLE_MS + pause_ms);
+        routed_fleet_configure (&fleet);
+        routed_fleet_write_server (&fleet, "p1", true, false);
+        expect_in_time ("p1", TT_BACKEND_LEAVING);
+        routed_fleet_close (&fleet);
+      }
+}
+
 /// Guards against a store that is silent to one group of daemons after the other: to followers, to
 /// one failure domain, to each reader in turn. Those that it serves get each change in time.
 static void
@@ -556,6 +596,8 @@
   { "revision_is_given_out_again", revision_is_given_out_again },
   { "entry_has_lower_revision_after_copy", entry_has_lower_revision_after_copy },
   { "store_is_silent_to_readers", store_is_silent_to_readers },
+  { "watches_are_lost_in_calm", watches_are_lost_in_calm },
+  { "silence_ends_before_write", silence_ends_before_write },
   { "store_is_silent_by_turns", store_is_silent_by_turns },
   { "two_copies_within_seconds", two_copies_within_seconds },
   { "version_never_goes_back", version_never_goes_back },
