feat(lease): leases and fencing tokens across eras of the store

After the store's return from a copy without the lease, another daemon acquired it at once while the holder, which had yet to learn of that, could act for up to 8 s; a version that was given out again let a renewal overwrite another daemon's lease; and tokens of the lost seconds were used again.

Change: `evidence` judges the era of each answer.

--- a/src/tarragontrack/board/evidence_defs.h
+++ b/src/tarragontrack/board/evidence_defs.h
@@ -27,6 +27,7 @@
 typedef struct
 {
   uint64_t era;           ///< highest era that the store stated in an answer to this daemon
+  int64_t era_since_us;   ///< first answer of that era; 0 = the store states none
   int64_t era_changed_us; ///< when that era replaced an earlier one; 0 = it did not
   int64_t failed_us;      ///< start of this daemon's last call that failed; 0 = none
   // The time for which the store is known to have served, ending with the latest known answer: as
--- a/src/tarragontrack/board/lease_defs.h
+++ b/src/tarragontrack/board/lease_defs.h
@@ -28,6 +28,7 @@
   bool held;              ///< this daemon acquired the lease; tt_lease_held() also checks whether
                           ///< it has expired
   uint64_t fencing_token; ///< highest fencing token read; while held, the token of the current term
+  uint64_t era;           ///< of the store, in which the following was read or written
   uint64_t version;       ///< object version last read
   uint64_t holder_id;     ///< holder last read
   int64_t duration_us;
--- a/src/tarragontrack/control/controllers.c
+++ b/src/tarragontrack/control/controllers.c
@@ -20,12 +20,14 @@
 int
 tt_controllers_add_leased (TtBoard *board)
 {
-  // `retry` runs after all other controllers that read attempts, because it closes them.
+  // `evidence` judges the era of an answer before other controllers read it. `retry` runs after all
+  // other controllers that read attempts, because it closes them.
   const ControllerFactory factories[] = {
-    tt_roster_controller,   tt_member_controller, tt_config_controller, tt_lease_controller,
-    tt_acceptor_controller, tt_health_controller, tt_length_controller, tt_poison_controller,
-    tt_admit_controller,    tt_claim_controller,  tt_share_controller,  tt_place_controller,
-    tt_retry_controller,    tt_order_controller,  tt_drain_controller,  tt_intake_controller,
+    tt_evidence_controller, tt_roster_controller,   tt_member_controller, tt_config_controller,
+    tt_lease_controller,    tt_acceptor_controller, tt_health_controller, tt_length_controller,
+    tt_poison_controller,   tt_admit_controller,    tt_claim_controller,  tt_share_controller,
+    tt_place_controller,    tt_retry_controller,    tt_order_controller,  tt_drain_controller,
+    tt_intake_controller,
   };
 
   return add_controllers (board, factories, sizeof factories / sizeof factories[0]);
--- a/src/tarragontrack/control/controllers.h
+++ b/src/tarragontrack/control/controllers.h
@@ -20,6 +20,7 @@
 TtController tt_roster_controller (void);
 TtController tt_member_controller (void);
 TtController tt_config_controller (void);
+TtController tt_evidence_controller (void);
 TtController tt_lease_controller (void);
 TtController tt_acceptor_controller (void);
 TtController tt_health_controller (void);
--- a/src/tarragontrack/control/evidence.c
+++ b/src/tarragontrack/control/evidence.c
@@ -1,5 +1,6 @@
 #include "tarragontrack/control/evidence.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/control/controllers.h"
 
 /// The wait for lapsed entries ends this long before the settling time does, which leaves time for
 /// a request that is in flight at that moment.
@@ -14,6 +15,9 @@
 #define CONFIRM_DELAY_DIVISOR 8 ///< for those that wait for another daemon's statement
 #define ANSWER_DIVISOR 4
 
+/// Bits of a fencing token that number the acquisitions of one era.
+#define FENCING_BITS 32
+
 static int
 compare (uint64_t first, uint64_t second)
 {
@@ -48,9 +52,28 @@
       section->steady_us = 0;
     }
   section->era = era;
+  section->era_since_us = now_us;
   return known ? TT_ERA_CURRENT : TT_ERA_NEW;
 }
 
+bool
+tt_evidence_is_of_current_era (const TtBoard *board, const TtPlatformEvent *event)
+{
+  return event->era == board->evidence.era;
+}
+
+int64_t
+tt_evidence_era_age_us (const TtBoard *board, int64_t now_us)
+{
+  return board->evidence.era != 0 ? now_us - board->evidence.era_since_us : INT64_MAX;
+}
+
+uint64_t
+tt_evidence_fencing_floor (const TtBoard *board)
+{
+  return board->evidence.era << FENCING_BITS;
+}
+
 static int64_t
 report_us (const TtBoard *board)
 {
@@ -212,3 +235,24 @@
          || (stream->call_id != 0 && !stream->watch_waits
              && now_us - stream->call_started_us >= answer_us);
 }
+
+/// Judges the eras of answers where no `feed` does. The controllers after this one compare the era
+/// of an answer with the one recorded here.
+static void
+on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
+{
+  int code = event->platform.code;
+
+  (void) context;
+  if (event->type != TT_EVENT_PLATFORM_RESPONSE
+      || (code != TT_OK && code != TT_E_NOT_FOUND && code != TT_E_CONFLICT))
+    return;
+  if (tt_evidence_check_era (board, event->platform.era, now_us) != TT_ERA_OLD)
+    tt_evidence_add_answer (board, now_us);
+}
+
+TtController
+tt_evidence_controller (void)
+{
+  return (TtController){ .name = "evidence", .on_event = on_event };
+}
--- a/src/tarragontrack/control/evidence.h
+++ b/src/tarragontrack/control/evidence.h
@@ -29,6 +29,21 @@
 ///            discard all answers of the store
 TtEraVerdict tt_evidence_check_era (TtBoard *board, uint64_t era, int64_t now_us);
 
+/// True if the era of an answer is the highest one known. An answer of an earlier era proves
+/// nothing about the present one: what it confirms may be lost.
+bool tt_evidence_is_of_current_era (const TtBoard *board, const TtPlatformEvent *event);
+
+/// tt_evidence_era_age_us - for how long this daemon has known the store's era
+///
+/// RETURN     INT64_MAX if the store states no era. A free lease or key in the store is proof only
+/// of
+///            what was written in this era, so who takes it waits as long as a holder of an earlier
+///            era may act.
+int64_t tt_evidence_era_age_us (const TtBoard *board, int64_t now_us);
+
+/// Fencing tokens of this era are above it, those of earlier eras are not.
+uint64_t tt_evidence_fencing_floor (const TtBoard *board);
+
 /// Records that the store answered a call of this daemon that began at @started_us.
 void tt_evidence_add_answer (TtBoard *board, int64_t started_us);
 
--- a/src/tarragontrack/control/lease.c
+++ b/src/tarragontrack/control/lease.c
@@ -2,6 +2,7 @@
 #include "tarragontrack/board/board.h"
 #include "tarragontrack/board/hash.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/evidence.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -100,9 +101,13 @@
   object->duration_ms = (uint32_t) (lease->duration_us / TT_MILLISECOND_US);
   object->released = type == TT_LEASE_CALL_RELEASE;
   // A new term gets the token after the highest one read, so that tokens also increase after the
-  // store was restored to an older version.
-  object->fencing_token
-      = type == TT_LEASE_CALL_ACQUIRE ? lease->fencing_token + 1 : lease->fencing_token;
+  // store was restored to an older version, and one above those of earlier eras, which this daemon
+  // may not have read.
+  object->fencing_token = lease->fencing_token;
+  if (type == TT_LEASE_CALL_ACQUIRE && object->fencing_token < tt_evidence_fencing_floor (board))
+    object->fencing_token = tt_evidence_fencing_floor (board);
+  if (type == TT_LEASE_CALL_ACQUIRE)
+    object->fencing_token++;
   if (type != TT_LEASE_CALL_RELEASE)
     {
       lease->unconfirmed_token = object->fencing_token;
@@ -186,6 +191,8 @@
   lease->call = 0;
   lease->call_type = TT_LEASE_CALL_NONE;
   lease->next_try_us = now_us + RETRY_PERIOD_US;
+  if (!tt_evidence_is_of_current_era (board, response) && response->code == TT_OK)
+    return; // it is read again
   if (type == TT_LEASE_CALL_READ)
     {
       if (response->code == TT_E_NOT_FOUND)
@@ -212,22 +219,43 @@
     read_lease (board, lease, now_us);
 }
 
+/// Drops what was read or written in an earlier era of the store. The lease that this daemon holds
+/// may be lost, and its version may be given to what another daemon writes.
+static void
+leave_era (TtBoard *board, TtLease *lease, int64_t now_us)
+{
+  mark_lease_lost (board, lease, "new era of the store");
+  lease->era = board->evidence.era;
+  lease->version = 0;
+  lease->holder_id = 0;
+  lease->observed_us = 0;
+  lease->unconfirmed_token = 0;
+  lease->call = 0;
+  lease->call_type = TT_LEASE_CALL_NONE;
+  lease->next_try_us = now_us;
+}
+
 static void
 on_event (void *context, TtBoard *board, const TtEvent *event, int64_t now_us)
 {
   (void) context;
   if (event->type != TT_EVENT_PLATFORM_RESPONSE)
     return;
+  for (uint32_t i = 0; i < board->lease.count; i++)
+    if (board->lease.leases[i].era != board->evidence.era)
+      leave_era (board, &board->lease.leases[i], now_us);
   for (uint32_t i = 0; i < board->lease.count; i++)
     if (board->lease.leases[i].call != 0 && board->lease.leases[i].call == event->platform.call_id)
       handle_lease_response (board, &board->lease.leases[i], &event->platform, now_us);
 }
 
-/// True if the lease last read may be acquired: it is released, absent or expired.
+/// True if the lease last read may be acquired: it is released, absent or expired. In a new era the
+/// object may lack the lease of a holder that has yet to learn of that era.
 static bool
-is_available (const TtLease *lease, int64_t now_us)
+is_available (const TtBoard *board, const TtLease *lease, int64_t now_us)
 {
   return lease->observed_us != 0
+         && tt_evidence_era_age_us (board, now_us) >= lease->duration_us + TT_LEASE_MARGIN_US
          && (lease->observed_released
              || now_us - lease->observed_us >= lease->observed_duration_us + TT_LEASE_MARGIN_US);
 }
@@ -256,7 +284,7 @@
     return;
   if (lease->held)
     write_lease (board, lease, TT_LEASE_CALL_RENEW, now_us);
-  else if (is_available (lease, now_us))
+  else if (is_available (board, lease, now_us))
     write_lease (board, lease, TT_LEASE_CALL_ACQUIRE, now_us);
   else
     read_lease (board, lease, now_us);
--- a/test/control/lease_test.c
+++ b/test/control/lease_test.c
@@ -21,6 +21,22 @@
   return sim;
 }
 
+/// Creates such daemons before a store that states its era and gives versions out again. @before:
+/// set to a copy of the store without the lease
+static Sim *
+start_pair_with_eras (uint64_t seed, Store **before)
+{
+  Sim *sim = sim_new (seed);
+
+  sim->store->era = 1;
+  sim->store->reuse_versions = true;
+  (void) sim_stage_test_document (sim, "demo", TT_DETACHED_WAIT, true);
+  *before = store_snapshot (sim->store);
+  (void) sim_add_daemon (sim, "router-a", "alpha");
+  (void) sim_add_daemon (sim, "router-b", "beta");
+  return sim;
+}
+
 static bool
 may_act (const Sim *sim, unsigned node)
 {
@@ -163,6 +179,41 @@
   sim_free (sim);
 }
 
+/// Guards against a second holder after the store has returned from a copy without the lease, or
+/// with it in the hands of an earlier holder, while the present one has yet to learn of that, and
+/// against a fencing token that is used again.
+static void
+store_returns_from_copy (void)
+{
+  for (uint64_t seed = 10; seed < 30; seed++)
+    {
+      Store *before;
+      Sim *sim = start_pair_with_eras (seed, &before);
+      uint64_t token;
+
+      CU_ASSERT_EQUAL (count_overlaps (sim, 30), 0);
+      UNIT_REQUIRE (may_act (sim, 0) + may_act (sim, 1) == 1);
+      token = stored_token (sim);
+      sim_restore_store (sim, before);
+      CU_ASSERT_EQUAL (count_overlaps (sim, 30), 0);
+      UNIT_REQUIRE (may_act (sim, 0) + may_act (sim, 1) == 1);
+      CU_ASSERT (stored_token (sim) > token);
+
+      // The holder is cut off while the store returns from the copy without its lease.
+      token = stored_token (sim);
+      sim_isolate_domain (sim, may_act (sim, 0) ? 0 : 1, true);
+      sim_run (sim, sim->now_us + (int64_t) (seed % 4) * TT_SECOND_US);
+      sim_restore_store (sim, before);
+      CU_ASSERT_EQUAL (count_overlaps (sim, 20), 0);
+      sim_isolate_domain (sim, 0, false);
+      sim_isolate_domain (sim, 1, false);
+      CU_ASSERT_EQUAL (count_overlaps (sim, 40), 0);
+      CU_ASSERT (stored_token (sim) > token);
+      store_free (before);
+      sim_free (sim);
+    }
+}
+
 /// Guards against a lease that blocks its role for the whole duration after an orderly shutdown.
 static void
 drained_holder_releases_lease (void)
@@ -187,6 +238,7 @@
   { "a partitioned holder stops before its successor starts",
     partitioned_holder_stops_before_successor },
   { "fencing tokens increase after a store was restored", tokens_increase_after_restore },
+  { "one holder when the store returns from a copy", store_returns_from_copy },
   { "a drained holder releases its lease", drained_holder_releases_lease },
 };
 
--- a/test/support/store.c
+++ b/test/support/store.c
@@ -206,11 +206,12 @@
 TtPlatformEvent
 store_call (Store *store, const TtPlatformAction *call, bool stale)
 {
-  if (call->op == TT_PLATFORM_PUT)
-    return put_object (store, call);
-  if (call->op == TT_PLATFORM_HOSTS)
-    return list_hosts (store, call);
-  return get_object (store, call, stale);
+  TtPlatformEvent event = call->op == TT_PLATFORM_PUT     ? put_object (store, call)
+                          : call->op == TT_PLATFORM_HOSTS ? list_hosts (store, call)
+                                                          : get_object (store, call, stale);
+
+  event.era = store->era;
+  return event;
 }
 
 bool
@@ -240,6 +241,7 @@
 void
 store_restore (Store *store, const Store *snapshot)
 {
+  store->era += store->era != 0;
   for (uint32_t i = 0; i < store->count; i++)
     {
       const StoreItem *saved = i < snapshot->count ? &snapshot->items[i] : NULL;
--- a/test/support/store.h
+++ b/test/support/store.h
@@ -26,6 +26,7 @@
 {
   StoreItem items[STORE_MAX_KEYS];
   uint32_t count;
+  uint64_t era; ///< stated in all responses; rises with store_restore(); 0 = none is stated
   uint64_t last_version; ///< highest version of any item
   /// An update sets the item's own version + 1, so versions repeat after a restore. Otherwise it
   /// sets Store.last_version + 1.
