feat(claim): claims across eras of the store

After the store's return from a copy, a key without an entry passed for a key without a claim, and versions that were given out again passed for those that had been read: a request whose claim was lost could run a second time at another daemon.

Change: each daemon writes the claims again that the store has confirmed in the last minute; a key without an entry is claimed only when the daemon has known the era for bounds.settle_ms. What was read, sent or confirmed in an earlier era holds no longer. In feed.c, a 410 leads to a list in any era.

--- a/src/tarragontrack/board/claim_section_defs.h
+++ b/src/tarragontrack/board/claim_section_defs.h
@@ -38,6 +38,16 @@
   TtObject *object; ///< content of the open write; NULL until the first one
 } TtClaimShard;
 
+/// A claim that the store has confirmed lately. After a return of the store from an older copy it
+/// is written again.
+typedef struct
+{
+  TtLink link;        ///< on TtClaimSection.records, the last confirmed one at the end
+  TtClaimEntry entry; ///< without the recorded response
+  int64_t confirmed_us;
+  bool rewrite; ///< has yet to be written in the store's present era
+} TtClaimRecord;
+
 /// BOUNDS     TT_CLAIM_SHARDS shards, of which an idle one has no entries in memory;
 ///            TT_CLAIM_MAX_QUERIES open queries, further ones get the response "unknown"
 typedef struct
@@ -46,4 +56,7 @@
   TtClaimShard *shards;
   TtList free_queries;
   TtClaimQuery *queries;
+  TtList records;         ///< TtClaimRecord.link
+  uint32_t rewrite_count; ///< records with TtClaimRecord.rewrite
+  uint64_t era;           ///< of the store, in which the shards were read and written
 } TtClaimSection;
--- a/src/tarragontrack/control/claim.c
+++ b/src/tarragontrack/control/claim.c
@@ -2,15 +2,19 @@
 #include "tarragontrack/board/error.h"
 #include "tarragontrack/board/hash.h"
 #include "tarragontrack/board/request.h"
+#include "tarragontrack/control/claim_era.h"
 #include "tarragontrack/control/claim_query.h"
 #include "tarragontrack/control/claim_shard.h"
 #include "tarragontrack/control/controllers.h"
+#include "tarragontrack/control/evidence.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define BACKOFF_MIN_US (50 * TT_MILLISECOND_US)
 #define BACKOFF_MAX_US (2 * TT_SECOND_US)
+/// Interval of reads while a key without an entry may have a claim that the store has lost.
+#define ABSENCE_RETRY_US (200 * TT_MILLISECOND_US)
 #define SHARD_IDLE_US (2 * TT_SECOND_US) ///< entries of a shard idle this long are freed
 #define RETRY_AFTER_MS 1000
 
@@ -23,6 +27,7 @@
   (void) context;
   tt_list_init (&section->active);
   tt_list_init (&section->free_queries);
+  tt_list_init (&section->records);
   section->shards = calloc (TT_CLAIM_SHARDS, sizeof *section->shards);
   section->queries = calloc (TT_CLAIM_MAX_QUERIES, sizeof *section->queries);
   if (section->shards == NULL || section->queries == NULL)
@@ -50,6 +55,7 @@
       free (board->requests.pool[i].claim.outcome);
   free (board->claim.shards);
   free (board->claim.queries);
+  tt_claim_era_close (board);
 }
 
 /// Finishes a request with an error that names its shard's object as the peer.
@@ -137,6 +143,13 @@
       respond_from_entry (board, request, entry);
       return false;
     }
+  if (!tt_claim_era_proves_absence (board, now_us))
+    {
+      // The claim of another daemon may be written again meanwhile.
+      shard->loaded = false;
+      shard->next_try_us = now_us + ABSENCE_RETRY_US;
+      return false;
+    }
   code = tt_claim_shard_claim (shard, request, board->wall_clock_s);
   tt_list_remove (&shard->waiting, &request->claim.link);
   if (code < 0)
@@ -191,7 +204,8 @@
       bool needs_write;
 
       tt_claim_shard_prune (shard, board->wall_clock_s);
-      needs_write = process_waiting (board, shard, now_us);
+      needs_write = tt_claim_era_add_rewrites (board, shard);
+      needs_write = process_waiting (board, shard, now_us) || needs_write;
       if (needs_write)
         {
           shard->object->type = TT_OBJECT_CLAIMS;
@@ -202,9 +216,12 @@
           tt_board_counter_add (board, TT_COUNT_CLAIM_WRITES, 1);
           return;
         }
+      if (now_us < shard->next_try_us)
+        return;
     }
   tt_claim_query_respond (board, shard, now_us);
-  if (shard->waiting.count > 0 || shard->queries.count > 0)
+  if (shard->waiting.count > 0 || shard->queries.count > 0
+      || tt_claim_era_has_rewrites (board, shard))
     shard->call = tt_board_call_platform (board, TT_PLATFORM_GET, key, 0, NULL);
 }
 
@@ -281,7 +298,8 @@
       if (shard->call != 0)
         continue;
       expire_claims (board, shard, now_us);
-      if (shard->waiting.count == 0 && shard->queries.count == 0)
+      if (shard->waiting.count == 0 && shard->queries.count == 0
+          && !tt_claim_era_has_rewrites (board, shard))
         {
           if (now_us - shard->last_used_us > SHARD_IDLE_US)
             {
@@ -328,26 +346,6 @@
                   &claim->link);
 }
 
-/// Moves the claims of a failed or unconfirmed write back to the waiting list, in their order.
-static void
-requeue_writes (TtClaimShard *shard, bool effect_unknown)
-{
-  while (shard->writing.count > 0)
-    {
-      TtLink *link = shard->writing.head.prev;
-      TtRequest *request = TT_CONTAINER_OF (link, TtRequest, claim.link);
-
-      tt_list_remove (&shard->writing, link);
-      if (request->claim.step == TT_CLAIM_STEP_WRITING)
-        {
-          request->claim.step = TT_CLAIM_STEP_WAITING;
-          request->claim.write_uncertain = request->claim.write_uncertain || effect_unknown;
-        }
-      tt_list_prepend (&shard->waiting, link);
-    }
-  shard->loaded = false;
-}
-
 /// Completes the claims of a write that took effect.
 static void
 complete_write (TtBoard *board, TtClaimShard *shard, uint64_t version, int64_t now_us)
@@ -355,10 +353,12 @@
   TtLink *link;
 
   shard->version = version;
+  tt_claim_era_confirm_rewrites (board, shard);
   while ((link = tt_list_pop (&shard->writing)) != NULL)
     {
       TtRequest *request = TT_CONTAINER_OF (link, TtRequest, claim.link);
 
+      tt_claim_era_record (board, request, now_us);
       if (request->claim.step == TT_CLAIM_STEP_SETTLING)
         settle_claim (request);
       else
@@ -378,12 +378,19 @@
   return delay_us + (int64_t) tt_rng_below (&board->rng, (uint64_t) delay_us);
 }
 
+static bool
+is_answer (const TtPlatformEvent *event)
+{
+  return event->code == TT_OK || event->code == TT_E_NOT_FOUND || event->code == TT_E_CONFLICT;
+}
+
 static void
 on_platform_response (TtBoard *board, const TtPlatformEvent *event, int64_t now_us)
 {
   TtClaimShard *shard = NULL;
   bool is_write = event->op == TT_PLATFORM_PUT;
 
+  tt_claim_era_check (board, now_us);
   TT_LIST_FOREACH (&board->claim.active, it)
     if (TT_CONTAINER_OF (it, TtClaimShard, link)->call == event->call_id)
       shard = TT_CONTAINER_OF (it, TtClaimShard, link);
@@ -391,7 +398,9 @@
     return;
   shard->call = 0;
   shard->last_used_us = now_us;
-  if (event->code == TT_OK || (event->code == TT_E_NOT_FOUND && !is_write))
+  if (!tt_evidence_is_of_current_era (board, event) && is_answer (event))
+    tt_claim_shard_give_up_call (shard);
+  else if (event->code == TT_OK || (event->code == TT_E_NOT_FOUND && !is_write))
     {
       shard->consecutive_failures = 0;
       if (is_write)
@@ -402,7 +411,7 @@
     }
   else
     {
-      requeue_writes (shard, event->code == TT_E_TIMEOUT);
+      tt_claim_shard_requeue_writes (shard, event->code == TT_E_TIMEOUT);
       if (event->code != TT_E_CONFLICT)
         {
           shard->consecutive_failures++;
--- a/src/tarragontrack/control/claim_query.c
+++ b/src/tarragontrack/control/claim_query.c
@@ -1,5 +1,6 @@
 #include "tarragontrack/control/claim_query.h"
 #include "tarragontrack/board/board.h"
+#include "tarragontrack/control/claim_era.h"
 #include "tarragontrack/control/claim_shard.h"
 
 #define QUERY_TIMEOUT_US (5 * TT_SECOND_US)
@@ -40,6 +41,7 @@
       const TtClaimEntry *entry = fresh ? tt_claim_shard_find (shard, query->key) : NULL;
       TtAction *action;
 
+      fresh = fresh && (entry != NULL || tt_claim_era_proves_absence (board, now_us));
       if (!fresh && now_us - query->received_us < QUERY_TIMEOUT_US)
         continue;
       tt_list_remove (&shard->queries, &query->link);
--- a/src/tarragontrack/control/claim_shard.c
+++ b/src/tarragontrack/control/claim_shard.c
@@ -122,6 +122,47 @@
   return entry;
 }
 
+int
+tt_claim_shard_put (TtClaimShard *shard, const TtClaimEntry *entry)
+{
+  TtClaimEntry *target = tt_claim_shard_find (shard, entry->key);
+  int code = TT_OK;
+
+  if (target == NULL)
+    target = add_entry (shard, entry->key, &code);
+  if (target == NULL)
+    return code;
+  free (target->outcome);
+  *target = *entry;
+  return TT_OK;
+}
+
+void
+tt_claim_shard_requeue_writes (TtClaimShard *shard, bool effect_unknown)
+{
+  while (shard->writing.count > 0)
+    {
+      TtLink *link = shard->writing.head.prev;
+      TtRequest *request = TT_CONTAINER_OF (link, TtRequest, claim.link);
+
+      tt_list_remove (&shard->writing, link);
+      if (request->claim.step == TT_CLAIM_STEP_WRITING)
+        {
+          request->claim.step = TT_CLAIM_STEP_WAITING;
+          request->claim.write_uncertain = request->claim.write_uncertain || effect_unknown;
+        }
+      tt_list_prepend (&shard->waiting, link);
+    }
+  shard->loaded = false;
+}
+
+void
+tt_claim_shard_give_up_call (TtClaimShard *shard)
+{
+  shard->call = 0;
+  tt_claim_shard_requeue_writes (shard, true);
+}
+
 int
 tt_claim_shard_claim (TtClaimShard *shard, const TtRequest *request, int64_t wall_clock_s)
 {
--- a/src/tarragontrack/control/claim_shard.h
+++ b/src/tarragontrack/control/claim_shard.h
@@ -30,5 +30,16 @@
 /// RETURN     as tt_claim_shard_claim()
 int tt_claim_shard_settle (TtClaimShard *shard, TtRequest *request, int64_t wall_clock_s);
 
+/// Sets the entry of a key to another one that has no recorded response. RETURN 0, TT_E_LIMIT or
+/// TT_E_NO_MEMORY
+int tt_claim_shard_put (TtClaimShard *shard, const TtClaimEntry *entry);
+
+/// Forgets the call in flight, whose effect is unknown, and the loaded entries. The claims that it
+/// was to write wait again.
+void tt_claim_shard_give_up_call (TtClaimShard *shard);
+
+/// Moves the claims of a failed or unconfirmed write back to the waiting list, in their order.
+void tt_claim_shard_requeue_writes (TtClaimShard *shard, bool effect_unknown);
+
 /// Removes recorded responses and entries whose retention has expired.
 void tt_claim_shard_prune (TtClaimShard *shard, int64_t wall_clock_s);
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -355,7 +355,7 @@
     case TT_ERA_CURRENT:
       return event->code;
     case TT_ERA_OLD:
-      return TT_E_UNAVAILABLE;
+      return event->code == TT_OK ? TT_E_UNAVAILABLE : event->code;
     case TT_ERA_NEW:
       break;
     }
--- a/test/control/claim_test.c
+++ b/test/control/claim_test.c
@@ -157,6 +157,155 @@
   store_free (store);
 }
 
+/// Creates a ready board that has known the store's era for longer than the settling time.
+static TtBoard *
+ready_board_in_era (const char *name, const Store *store, int64_t now_us)
+{
+  TtBoard *board = ready_board (name);
+  TtEvent event
+      = { .type = TT_EVENT_PLATFORM_RESPONSE, .platform = { .call_id = 1, .era = store->era } };
+
+  board->config.bounds.settle_ms = 3000;
+  tt_board_step (board, &event, now_us - 10 * TT_SECOND_US);
+  return board;
+}
+
+/// Lets a board learn the store's era by the answer to another call.
+static void
+show_era (TtBoard *board, const Store *store, int64_t now_us)
+{
+  TtEvent event
+      = { .type = TT_EVENT_PLATFORM_RESPONSE, .platform = { .call_id = 1, .era = store->era } };
+
+  tt_board_step (board, &event, now_us);
+}
+
+/// Steps a board every 100 ms and serves its calls. RETURN the attempt id of a dispatch, or 0.
+static uint64_t
+run_board (TtBoard *board, Store *store, int64_t from_us, int64_t until_us)
+{
+  uint64_t attempt_id = 0;
+
+  for (int64_t now_us = from_us; now_us < until_us; now_us += 100 * TT_MILLISECOND_US)
+    {
+      uint64_t found;
+
+      drive_tick (board, now_us);
+      found = serve_calls (board, store, STORE_RESPONDS, now_us);
+      attempt_id = found != 0 ? found : attempt_id;
+    }
+  return attempt_id;
+}
+
+/// Guards against a second execution of a request whose claim the store has lost by returning from
+/// an older copy, while it runs or after it has ended. @ends: before the return
+static void
+run_beside_return_from_copy (bool ends)
+{
+  Store *store = store_new ();
+  Store *copy = store_snapshot (store);
+  TtBoard *first;
+  TtBoard *second;
+  int64_t now_us = START_US;
+  uint64_t attempt_id;
+
+  store->era = 1;
+  store->reuse_versions = true;
+  first = ready_board_in_era ("router-1", store, now_us);
+  second = ready_board_in_era ("router-2", store, now_us);
+  (void) claim_request (first, 7, 1, now_us);
+  attempt_id = run_board (first, store, now_us, now_us + TT_SECOND_US);
+  CU_ASSERT_NOT_EQUAL_FATAL (attempt_id, 0);
+  now_us += TT_SECOND_US;
+  if (ends)
+    {
+      complete_attempt (first, attempt_id, now_us);
+      (void) run_board (first, store, now_us, now_us + TT_SECOND_US);
+      now_us += TT_SECOND_US;
+    }
+  store_restore (store, copy);
+  show_era (second, store, now_us);
+  (void) claim_request (second, 7, 1, now_us);
+  CU_ASSERT_EQUAL (run_board (second, store, now_us, now_us + TT_SECOND_US), 0);
+  now_us += TT_SECOND_US;
+  // The owner learns of the era a second later and writes its claim again.
+  show_era (first, store, now_us);
+  CU_ASSERT_EQUAL (run_board (first, store, now_us, now_us + 2 * TT_SECOND_US), 0);
+  now_us += 2 * TT_SECOND_US;
+  CU_ASSERT_EQUAL (run_board (second, store, now_us, now_us + 4 * TT_SECOND_US), 0);
+  CU_ASSERT_EQUAL (second->counters[ends ? TT_COUNT_RECORDED : TT_COUNT_UNKNOWN], 1);
+  CU_ASSERT_EQUAL (second->counters[TT_COUNT_ATTEMPTS], 0);
+  tt_board_free (first);
+  tt_board_free (second);
+  store_free (copy);
+  store_free (store);
+}
+
+static void
+claim_is_lost_by_return_from_copy (void)
+{
+  run_beside_return_from_copy (false);
+  run_beside_return_from_copy (true);
+}
+
+/// Guards against claims that are never made again after a new era, and against a storm of reads
+/// while they wait.
+static void
+claims_go_on_in_new_era (void)
+{
+  Store *store = store_new ();
+  TtBoard *board;
+  uint64_t calls;
+
+  store->era = 1;
+  board = ready_board_in_era ("router-1", store, START_US);
+  store->era = 2;
+  show_era (board, store, START_US);
+  calls = board->counters[TT_COUNT_PLATFORM_CALLS];
+  (void) claim_request (board, 7, 1, START_US);
+  CU_ASSERT_EQUAL (run_board (board, store, START_US, START_US + 3 * TT_SECOND_US), 0);
+  CU_ASSERT (board->counters[TT_COUNT_PLATFORM_CALLS] - calls <= 30);
+  CU_ASSERT_NOT_EQUAL (
+      run_board (board, store, START_US + 3 * TT_SECOND_US, START_US + 4 * TT_SECOND_US), 0);
+  tt_board_free (board);
+  store_free (store);
+}
+
+/// Guards against a write that is confirmed by an answer of an earlier era: the claim is lost.
+static void
+late_confirmation_of_old_era (void)
+{
+  Store *store = store_new ();
+  TtBoard *board;
+  TtAction action;
+  TtEvent event = { .type = TT_EVENT_PLATFORM_RESPONSE };
+
+  store->era = 1;
+  board = ready_board_in_era ("router-1", store, START_US);
+  (void) claim_request (board, 7, 1, START_US);
+  drive_tick (board, START_US);
+  do
+    UNIT_REQUIRE (test_board_next_action (board, TT_ACTION_PLATFORM_CALL, &action) != NULL);
+  while (strncmp (action.platform.key, "claims/", 7) != 0);
+  event.platform = store_call (store, &action.platform, false);
+  event.platform.call_id = action.platform.call_id;
+  event.platform.op = action.platform.op;
+  tt_board_step (board, &event, START_US);
+  do
+    UNIT_REQUIRE (test_board_next_action (board, TT_ACTION_PLATFORM_CALL, &action) != NULL);
+  while (action.platform.op != TT_PLATFORM_PUT);
+  store->era = 2;
+  show_era (board, store, START_US);
+  event.platform = (TtPlatformEvent){
+    .call_id = action.platform.call_id, .op = TT_PLATFORM_PUT, .version = 1, .era = 1
+  };
+  tt_board_step (board, &event, START_US);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_CLAIMS], 0);
+  CU_ASSERT_EQUAL (board->counters[TT_COUNT_ATTEMPTS], 0);
+  tt_board_free (board);
+  store_free (store);
+}
+
 /// Guards against the response "not run" during a store outage, when an earlier attempt may have
 /// run.
 static void
@@ -251,6 +400,9 @@
   { "a claim whose request was never sent becomes not run", unsent_claim_becomes_not_run },
   { "another body under the same key is refused", reused_key_with_other_body_is_refused },
   { "claims of one shard share one write", claims_of_shard_share_one_write },
+  { "a claim that a return from a copy has lost", claim_is_lost_by_return_from_copy },
+  { "claims go on in a new era", claims_go_on_in_new_era },
+  { "a late confirmation of an earlier era", late_confirmation_of_old_era },
 };
 
 UNIT_MAIN ("claim", tests)
