test(soak): returns of the store from copies, lost answers, larger fleets

Cause: the soak's store was silent only in a way in which its answers came later, and its history never went back; all runs had four daemons.

The other faults of a seed stay the same: the generator is its own.

--- a/test/crowd/crowd.c
+++ b/test/crowd/crowd.c
@@ -315,8 +315,10 @@
 {
   struct rlimit own;
   struct rlimit lowered;
-  bool started = soak_start_systems (&run.soak);
+  bool started;
 
+  run.soak.daemon_count = DAEMONS;
+  started = soak_start_systems (&run.soak);
   (void) snprintf (run.limits, sizeof run.limits,
                    "\"max_requests\": 4096, \"max_attempts\": 8192, \"memory_mb\": %u, "
                    "\"body_bytes\": %u, \"read_timeout_ms\": 3600000",
--- a/test/soak/backend.c
+++ b/test/soak/backend.c
@@ -70,8 +70,8 @@
   (void) snprintf (text, size, "i-%u-%u", backend->index, backend->incarnation);
 }
 
-static void
-register_backend (SoakBackend *backend)
+void
+soak_backend_register (SoakBackend *backend)
 {
   json_object *spec = json_object_new_object ();
   char text[64];
@@ -80,7 +80,8 @@
                           json_object_new_string (backend->index < SOAK_ENGINES ? "llm" : "desk"));
   (void) snprintf (text, sizeof text, "127.0.0.1:%u", proxy_port (backend->proxy));
   json_object_object_add (spec, "Address", json_object_new_string (text));
-  json_object_object_add (spec, "Zone", json_object_new_string ("z"));
+  (void) snprintf (text, sizeof text, "z%u", backend->index % soak_domain_count (backend->soak));
+  json_object_object_add (spec, "Zone", json_object_new_string (text));
   json_object_object_add (spec, "Slots", json_object_new_int (16));
   json_object_object_add (spec, "State",
                           json_object_new_string (backend->draining ? "draining" : "ready"));
@@ -432,7 +433,7 @@
   backend->draining = backend->says_leaving = false;
   backend->draining_since_us = 0;
   backend->reject_requests = 0;
-  register_backend (backend);
+  soak_backend_register (backend);
   return true;
 }
 
@@ -467,5 +468,5 @@
 {
   backend->draining = backend->says_leaving = true;
   backend->draining_since_us = soak_now_us ();
-  register_backend (backend);
+  soak_backend_register (backend);
 }
--- a/test/soak/backend.h
+++ b/test/soak/backend.h
@@ -6,6 +6,9 @@
 /// Starts a backend server and registers it. RETURN false on failure.
 bool soak_backend_start (SoakBackend *backend);
 
+/// Writes the backend server's entry in the store.
+void soak_backend_register (SoakBackend *backend);
+
 /// Simulates a crash: stops the server and resets all its connections. @remove_entry also removes
 /// its entry from the store, as when the entry expires.
 void soak_backend_crash (SoakBackend *backend, bool remove_entry);
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -220,7 +220,7 @@
 static SoakDaemon *
 pick_daemon (Soak *soak)
 {
-  SoakDaemon *daemon = &soak->daemons[tt_rng_below (&soak->rng, SOAK_DAEMONS)];
+  SoakDaemon *daemon = &soak->daemons[tt_rng_below (&soak->rng, soak->daemon_count)];
 
   if (!daemon->running
       || (daemon->terminating && soak_now_us () - daemon->last_fault_us > BALANCER_LAG_US))
@@ -280,7 +280,7 @@
   if (now_us - soak->config_written_us < CONFIG_APPLY_US
       || soak_time_since_fault_us (soak, NULL) < RECOVERY_US)
     return;
-  for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+  for (unsigned i = 0; i < soak->daemon_count; i++)
     {
       SoakDaemon *daemon = &soak->daemons[i];
       SoakCall *call;
--- a/test/soak/crowd_fault.c
+++ b/test/soak/crowd_fault.c
@@ -50,7 +50,7 @@
 soak_crowd_inject (Soak *soak)
 {
   TtRng *rng = &soak->crowd_rng;
-  SoakDaemon *daemon = &soak->daemons[tt_rng_below (rng, SOAK_DAEMONS)];
+  SoakDaemon *daemon = &soak->daemons[tt_rng_below (rng, soak->daemon_count)];
   SoakCrowdKind kind = kinds[tt_rng_below (rng, sizeof kinds / sizeof kinds[0])];
   uint64_t duration_ms = 300 + tt_rng_below (rng, 3000);
   OpenCrowd *open;
@@ -72,7 +72,7 @@
 void
 soak_crowd_check_memory (Soak *soak)
 {
-  for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+  for (unsigned i = 0; i < soak->daemon_count; i++)
     {
       SoakDaemon *daemon = &soak->daemons[i];
       uint64_t peak_kb = daemon->running ? soak_usage_peak_kb (daemon->process.pid) : 0;
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -1,6 +1,7 @@
 #include "faults.h"
 #include "backend.h"
 #include "crowd.h"
+#include "history.h"
 #include "proxy.h"
 #include "store.h"
 #include <fcntl.h>
@@ -78,7 +79,14 @@
                          end);
 }
 
-/// Counts a fault as active and ends it after a random time.
+void
+soak_schedule_step (Soak *soak, unsigned target, unsigned after_ms,
+                    void (*step) (Soak *soak, unsigned target))
+{
+  schedule_after (soak, target, after_ms, step)->planned = true;
+}
+
+/// Counts a fault as active and ends it after a random time, drawn from the soak's main generator.
 static void
 schedule_fault_end (Soak *soak, unsigned target, unsigned min_ms, unsigned max_ms,
                     void (*end) (Soak *soak, unsigned target))
@@ -87,6 +95,15 @@
   active_faults++;
 }
 
+void
+soak_schedule_fault_end (Soak *soak, unsigned target, unsigned min_ms, unsigned max_ms,
+                         void (*end) (Soak *soak, unsigned target))
+{
+  (void) schedule_after (soak, target,
+                         min_ms + tt_rng_below (&soak->history_rng, max_ms - min_ms + 1), end);
+  active_faults++;
+}
+
 static void
 restart_daemon (Soak *soak, unsigned target)
 {
@@ -121,7 +138,7 @@
     return false;
   (void) fprintf (
       file,
-      "{ \"fleet\": \"soak\", \"name\": \"d%u\", \"domain\": \"z\", \"region\": \"r\",\n"
+      "{ \"fleet\": \"soak\", \"name\": \"d%u\", \"domain\": \"z%u\", \"region\": \"r\",\n"
       "  \"caller\": { \"address\": \"127.0.0.1:%u\" },\n"
       "  \"operator\": { \"address\": \"127.0.0.1:%u\" },\n"
       "  \"peer\": { \"address\": \"127.0.0.1\", \"port\": %u },\n"
@@ -129,8 +146,8 @@
       "  \"limits\": { %s },\n"
       "  \"bounds\": { \"repeat_slack\": %u },\n"
       "  \"drain\": { \"announce_ms\": 2500, \"limit_ms\": 7000 } }\n",
-      daemon->index, daemon->caller_port, daemon->operator_port, daemon->peer_port,
-      proxy_port (daemon->store_proxy), daemon->limits,
+      daemon->index, daemon->index % soak_domain_count (daemon->soak), daemon->caller_port,
+      daemon->operator_port, daemon->peer_port, proxy_port (daemon->store_proxy), daemon->limits,
       20 + (unsigned) tt_rng_below (&daemon->soak->rng, 20));
   return fclose (file) == 0;
 }
@@ -404,12 +421,13 @@
 {
   static const int signals[] = { SIGKILL, SIGTERM, SIGSTOP, SIGHUP };
   uint64_t kind = tt_rng_below (&soak->rng, 100);
-  unsigned daemon = (unsigned) tt_rng_below (&soak->rng, SOAK_DAEMONS);
+  unsigned daemon = (unsigned) tt_rng_below (&soak->rng, soak->daemon_count);
   unsigned backend = (unsigned) tt_rng_below (&soak->rng, SOAK_BACKENDS);
 
   if (tt_rng_below (&soak->garbage_rng, GARBAGE_DIVISOR) == 0)
     inject_garbage (soak);
   soak_crowd_inject (soak);
+  soak_history_inject (soak);
   if (kind >= 35 && kind < 55)
     {
       soak_log (soak, "new configuration after version %llu",
@@ -434,7 +452,7 @@
   else if (kind < 97)
     inject_store_fault (soak);
   else
-    for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+    for (unsigned i = 0; i < soak->daemon_count; i++)
       signal_daemon (soak, i, SIGKILL);
 }
 
@@ -467,7 +485,8 @@
   if (kind == 0)
     soak_write_configuration (soak);
   else if (kind == 1)
-    (void) soak_daemon_write_settings (&soak->daemons[tt_rng_below (&soak->rng, SOAK_DAEMONS)]);
+    (void) soak_daemon_write_settings (
+        &soak->daemons[tt_rng_below (&soak->rng, soak->daemon_count)]);
   else if (backend->server != NULL && !backend->draining && !is_other_unavailable (soak, target))
     {
       soak_log (soak, "backend server %u starts draining", target);
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -23,5 +23,13 @@
 /// configuration or a settings file changes. Every bound must hold while the step is in progress.
 void soak_run_maintenance (Soak *soak);
 
+/// Counts a fault as active and ends it after a random time.
+void soak_schedule_fault_end (Soak *soak, unsigned target, unsigned min_ms, unsigned max_ms,
+                              void (*end) (Soak *soak, unsigned target));
+
+/// Schedules a step that is no fault.
+void soak_schedule_step (Soak *soak, unsigned target, unsigned after_ms,
+                         void (*step) (Soak *soak, unsigned target));
+
 /// True while a fault is active.
 bool soak_fault_active (void);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -1,9 +1,10 @@
-/// Randomized fault soak: soak --program PATH [--seed N] [--seconds N] [--planned] [--verbose]. The
-/// exit code is 1 if a guarantee was violated.
+/// Randomized fault soak: soak --program PATH [--seed N] [--seconds N] [--daemons N] [--planned]
+/// [--verbose]. The exit code is 1 if a guarantee was violated.
 #include "backend.h"
 #include "caller.h"
 #include "crowd.h"
 #include "faults.h"
+#include "history.h"
 #include "notice.h"
 #include "store.h"
 #include "usage.h"
@@ -38,6 +39,8 @@
 
   soak_backend_tick (&soak);
   soak_store_tick (&soak.store);
+  if (!soak.maintenance_only)
+    soak_history_tick (&soak);
   if (++ticks % PROBE_TICKS == 0 && soak_now_us () < soak.end_us)
     soak_caller_probe_route (&soak);
   if (ticks % USAGE_TICKS == 0)
@@ -70,7 +73,7 @@
   soak.end_us = soak.start_us + seconds * US_PER_S;
   soak.faults_end_us = soak.end_us - FAULT_FREE_US;
   started = soak_start_systems (&soak);
-  for (unsigned i = 0; started && i < SOAK_DAEMONS; i++)
+  for (unsigned i = 0; started && i < soak.daemon_count; i++)
     started = soak_start_daemon (&soak, i);
   return started;
 }
@@ -97,6 +100,7 @@
 {
   gint64 seed = 1;
   gint seconds = 20;
+  gint daemons = SOAK_DAEMONS;
   gchar *program = NULL;
   gboolean verbose_option = FALSE;
   gboolean planned = FALSE;
@@ -104,6 +108,7 @@
       = { { "program", 'p', 0, G_OPTION_ARG_FILENAME, &program, "Path of tarragontrackd", "PATH" },
           { "seed", 's', 0, G_OPTION_ARG_INT64, &seed, "Seed of the random faults", "N" },
           { "seconds", 't', 0, G_OPTION_ARG_INT, &seconds, "Length of the run", "N" },
+          { "daemons", 'd', 0, G_OPTION_ARG_INT, &daemons, "Number of daemons", "N" },
           { "planned", 0, 0, G_OPTION_ARG_NONE, &planned,
             "Planned maintenance instead of faults; also checks memory and descriptors", NULL },
           { "verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose_option, "Print each injected fault",
@@ -112,15 +117,19 @@
   GOptionContext *context = g_option_context_new ("- fault soak");
 
   g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, NULL) || program == NULL || seconds < 10)
+  if (!g_option_context_parse (context, &argc, &argv, NULL) || program == NULL || seconds < 10
+      || daemons < 2 || daemons > SOAK_MAX_DAEMONS)
     {
-      (void) fprintf (stderr, "soak: expected --program PATH, and at least 10 seconds\n");
+      (void) fprintf (stderr,
+                      "soak: expected --program PATH, at least 10 seconds, 2 to %d daemons\n",
+                      SOAK_MAX_DAEMONS);
       return 2;
     }
   g_option_context_free (context);
   soak.verbose = verbose_option;
   soak.maintenance_only = planned;
   soak.program = program;
+  soak.daemon_count = (unsigned) daemons;
   soak.seed = (uint64_t) seed;
   if (!soak_open (&soak) || !start_all (seconds))
     {
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -62,6 +62,12 @@
   va_end (arguments);
 }
 
+unsigned
+soak_domain_count (const Soak *soak)
+{
+  return 1 + (soak->daemon_count > 0 ? (soak->daemon_count - 1) / SOAK_DOMAIN_DAEMONS : 0);
+}
+
 /// Picks ports below the kernel's ephemeral port range: an outgoing connection could take a port
 /// from that range before a daemon binds it. Each soak process starts at a different port.
 uint16_t
@@ -128,7 +134,7 @@
   if (soak_fault_active ())
     return 0;
   if (daemon == NULL)
-    for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+    for (unsigned i = 0; i < soak->daemon_count; i++)
       if (soak->daemons[i].last_fault_us > last_us)
         last_us = soak->daemons[i].last_fault_us;
   return soak_now_us () - last_us;
@@ -144,6 +150,7 @@
   tt_rng_init (&soak->rng, soak->seed, 1);
   tt_rng_init (&soak->garbage_rng, soak->seed, 2);
   tt_rng_init (&soak->crowd_rng, soak->seed, 3);
+  tt_rng_init (&soak->history_rng, soak->seed, 4);
   soak->start_us = soak_now_us ();
   (void) snprintf (soak->directory, sizeof soak->directory, "%s/soak-XXXXXX", g_get_tmp_dir ());
   (void) signal (SIGPIPE, SIG_IGN);
@@ -190,7 +197,7 @@
 {
   char path[128];
 
-  for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+  for (unsigned i = 0; i < soak->daemon_count; i++)
     {
       if (soak->daemons[i].running)
         (void) uv_process_kill (&soak->daemons[i].process, SIGKILL);
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -13,7 +13,9 @@
 
 enum
 {
-  SOAK_DAEMONS = 4,
+  SOAK_DAEMONS = 4, ///< of a run without --daemons
+  SOAK_MAX_DAEMONS = 48,
+  SOAK_DOMAIN_DAEMONS = 8, ///< daemons of a failure domain in a larger run
   SOAK_BACKENDS = 6, ///< the first SOAK_ENGINES are engines, the others provide a plain service
   SOAK_ENGINES = 4,
   SOAK_STREAM_EVENTS = 12, ///< events per stream
@@ -125,6 +127,14 @@
   json_object *spec;
 } SoakObject;
 
+/// Content of the store at a time.
+typedef struct
+{
+  TtList objects; ///< SoakObject.link
+  uint64_t revision;
+  uint64_t compacted_revision;
+} SoakStoreCopy;
+
 /// The simulated store.
 typedef struct
 {
@@ -133,10 +143,12 @@
   uint16_t port;
   TtList objects;
   TtList watches; ///< SoakWatch.link
+  uint64_t era;   ///< rises with each return from a copy
   uint64_t revision;
-  uint64_t compacted_revision;   ///< changes up to this revision are compacted
-  bool unavailable;              ///< responds with 503
-  bool silent;                   ///< sends no responses
+  uint64_t compacted_revision; ///< changes up to this revision are compacted
+  bool unavailable;            ///< responds with 503
+  bool silent;                 ///< sends no responses
+  bool loses_answers;          ///< does what calls ask for; its answers, also to watches, are lost
   unsigned lose_write_responses; ///< number of upcoming writes whose responses are to be lost
   /// Last time that any fault of the soak began or ended. A planned SIGTERM does not count, but the
   /// restart of the daemon after it does.
@@ -149,6 +161,7 @@
   TtHttpClient *http;
   TtRng rng;
   TtRng crowd_rng;   ///< of crowds, apart for the same reason as garbage_rng
+  TtRng history_rng; ///< of the store's history, apart for the same reason
   TtRng garbage_rng; ///< of spoilt answers and of streams that may not be resumed; apart, so that
                      ///< the other faults of a seed stay the same
   uint64_t seed;
@@ -159,7 +172,8 @@
   bool verbose;          ///< print what soak_log() is given
   const char *program;   ///< path of the daemon
   char directory[64];
-  SoakDaemon daemons[SOAK_DAEMONS];
+  SoakDaemon daemons[SOAK_MAX_DAEMONS];
+  unsigned daemon_count;
   SoakBackend backends[SOAK_BACKENDS];
   SoakStore store;
   uint64_t config_version;   ///< of the newest configuration
@@ -193,6 +207,9 @@
 /// Logs an action of the soak with the time since its start, if --verbose is set.
 void soak_log (Soak *soak, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 
+/// Number of failure domains, over which daemons and backend servers are divided evenly.
+unsigned soak_domain_count (const Soak *soak);
+
 /// Finds a free port. Another process may bind it before the caller does.
 uint16_t soak_free_port (const Soak *soak);
 
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -41,10 +41,18 @@
 }
 
 static void
-send_json (h2o_req_t *request, unsigned status, json_object *object)
+send_json (const SoakStore *store, h2o_req_t *request, unsigned status, json_object *object)
 {
   const char *text = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
+  char era[24];
 
+  if (store->loses_answers)
+    {
+      json_object_put (object);
+      return; // the daemon's time limit ends the call
+    }
+  (void) snprintf (era, sizeof era, "%llu", (unsigned long long) store->era);
+  tt_http_server_add_header (request, "store-era", era);
   tt_http_server_send_response (request, status, "application/json", text, strlen (text));
   json_object_put (object);
 }
@@ -104,7 +112,7 @@
   json_object_object_add (root, "AsOf", json_object_new_uint64 (store->revision));
   watch->guard->watch = NULL;
   tt_list_remove (&store->watches, &watch->link);
-  send_json (watch->request, 200, root);
+  send_json (store, watch->request, 200, root);
   free (watch);
 }
 
@@ -148,6 +156,84 @@
   notify_watches (store);
 }
 
+/// Forgets a watch without a response: its connection returns nothing further.
+static void
+forget_watch (SoakStore *store, SoakWatch *watch)
+{
+  watch->guard->watch = NULL;
+  tt_list_remove (&store->watches, &watch->link);
+  free (watch);
+}
+
+static void
+free_objects (TtList *objects)
+{
+  TtLink *link;
+
+  while ((link = tt_list_pop (objects)) != NULL)
+    {
+      SoakObject *object = TT_CONTAINER_OF (link, SoakObject, link);
+
+      json_object_put (object->spec);
+      free (object);
+    }
+}
+
+static void
+copy_objects (const TtList *from, TtList *to)
+{
+  TT_LIST_FOREACH (from, it)
+    {
+      SoakObject *object = malloc (sizeof *object);
+
+      *object = *TT_CONTAINER_OF (it, SoakObject, link);
+      object->spec = json_object_get (object->spec);
+      tt_link_init (&object->link);
+      tt_list_append (to, &object->link);
+    }
+}
+
+SoakStoreCopy *
+soak_store_copy (const SoakStore *store)
+{
+  SoakStoreCopy *copy = calloc (1, sizeof *copy);
+
+  tt_list_init (&copy->objects);
+  copy_objects (&store->objects, &copy->objects);
+  copy->revision = store->revision;
+  copy->compacted_revision = store->compacted_revision;
+  return copy;
+}
+
+void
+soak_store_free_copy (SoakStoreCopy *copy)
+{
+  if (copy == NULL)
+    return;
+  free_objects (&copy->objects);
+  free (copy);
+}
+
+void
+soak_store_return_from_copy (SoakStore *store, const SoakStoreCopy *copy)
+{
+  TT_LIST_FOREACH (&store->watches, it)
+    forget_watch (store, TT_CONTAINER_OF (it, SoakWatch, link));
+  free_objects (&store->objects);
+  copy_objects (&copy->objects, &store->objects);
+  store->revision = copy->revision;
+  store->compacted_revision = copy->compacted_revision;
+  store->era++;
+}
+
+json_object *
+soak_store_get_spec (SoakStore *store, const char *kind, const char *name)
+{
+  SoakObject *object = find_object (store, kind, name);
+
+  return object != NULL && !object->removed ? json_object_get (object->spec) : NULL;
+}
+
 void
 soak_store_compact (SoakStore *store)
 {
@@ -158,7 +244,7 @@
 
       watch->guard->watch = NULL;
       tt_list_remove (&store->watches, &watch->link);
-      send_json (watch->request, 410, json_object_new_object ());
+      send_json (store, watch->request, 410, json_object_new_object ());
       free (watch);
     }
 }
@@ -194,7 +280,7 @@
   json_object_object_add (root, "Entries", entries);
   json_object_object_add (root, "HasMore", json_object_new_boolean (0));
   json_object_object_add (root, "AsOf", json_object_new_uint64 (store->revision));
-  send_json (request, 200, root);
+  send_json (store, request, 200, root);
 }
 
 static void
@@ -203,9 +289,9 @@
 {
   SoakWatch *watch;
 
-  if (after_revision < store->compacted_revision)
+  if (after_revision < store->compacted_revision || after_revision > store->revision)
     {
-      send_json (request, 410, json_object_new_object ());
+      send_json (store, request, 410, json_object_new_object ());
       return;
     }
   watch = calloc (1, sizeof *watch);
@@ -236,7 +322,7 @@
   if (name[0] == '\0' && find_object (store, kind, key) != NULL)
     {
       json_object_put (body);
-      send_json (request, 409, json_object_new_object ());
+      send_json (store, request, 409, json_object_new_object ());
       return;
     }
   value = NULL;
@@ -250,7 +336,7 @@
       store->lose_write_responses--;
       (void) shutdown (h2o_socket_get_fd (socket), SHUT_RDWR);
     }
-  send_json (request, 200, json_object_new_object ());
+  send_json (store, request, 200, json_object_new_object ());
 }
 
 static void
@@ -266,7 +352,7 @@
   if (store->silent)
     return; // the daemon's time limit ends the call
   if (store->unavailable || sscanf (path, "/objects/%15[a-z]/%47[^?]", kind, name) < 1)
-    send_json (request, 503, json_object_new_object ());
+    send_json (store, request, 503, json_object_new_object ());
   else if (!h2o_memis (request->method.base, request->method.len, H2O_STRLIT ("GET")))
     write_object (store, request, kind, name);
   else if (watch != NULL)
@@ -290,6 +376,7 @@
   TtError error;
 
   store->soak = soak;
+  store->era = 1;
   tt_list_init (&store->objects);
   tt_list_init (&store->watches);
   store->port = options.port = soak_free_port (soak);
--- a/test/soak/usage.c
+++ b/test/soak/usage.c
@@ -69,7 +69,7 @@
   int64_t length_us = soak->end_us - soak->start_us;
   int64_t fifth = 5 * (soak_now_us () - soak->start_us) / length_us;
 
-  for (unsigned i = 0; i < SOAK_DAEMONS && (fifth == 1 || fifth == 4); i++)
+  for (unsigned i = 0; i < soak->daemon_count && (fifth == 1 || fifth == 4); i++)
     {
       SoakDaemon *daemon = &soak->daemons[i];
       SoakUsage *usage = fifth == 1 ? &daemon->early_usage : &daemon->late_usage;
@@ -93,7 +93,7 @@
 {
   if (soak->end_us - soak->start_us < MIN_RUN_US)
     return;
-  for (unsigned i = 0; i < SOAK_DAEMONS; i++)
+  for (unsigned i = 0; i < soak->daemon_count; i++)
     {
       const SoakUsage *early = &soak->daemons[i].early_usage;
       const SoakUsage *late = &soak->daemons[i].late_usage;
