fix(evidence): positions do not survive a new era that a copy showed first

Cause: by reading. A reader that has adopted another daemon's copy of the new era took the first answer of that era for one of a known era, and could go on watching from its position in the old one. only_reader_adopts_copy_of_new_era does not show it: such a reader is behind before it adopts the copy, and lists for that reason.

Change: each rise of the era that this daemon meets in an answer ends its positions; the wait for missing entries begins only if no copy was adopted. The soak's operator writes its newest version.

Result: control_evidence and the other tests of the controllers pass.

--- a/src/tarragontrack/control/evidence.c
+++ b/src/tarragontrack/control/evidence.c
@@ -35,13 +35,14 @@
 tt_evidence_check_era (TtBoard *board, uint64_t era, int64_t now_us)
 {
   TtEvidenceSection *section = &board->evidence;
-  bool known = section->own_served_us == 0 || era <= board->registry.point.era;
+  bool first = section->own_served_us == 0;
 
   if (era == section->era)
     return TT_ERA_CURRENT;
   if (era < section->era)
     return TT_ERA_OLD;
-  if (!known)
+  // A daemon that has adopted another one's copy of this era has waited for missing entries.
+  if (!first && era > board->registry.point.era)
     {
       tt_board_counter_add (board, TT_COUNT_STORE_ERAS, 1);
       tt_board_log (board, TT_LOG_STORE_ERA, "era=%llu before=%llu servers_revision=%llu",
@@ -53,7 +54,7 @@
     }
   section->era = era;
   section->era_since_us = now_us;
-  return known ? TT_ERA_CURRENT : TT_ERA_NEW;
+  return first ? TT_ERA_CURRENT : TT_ERA_NEW;
 }
 
 bool
--- a/test/control/evidence_test.c
+++ b/test/control/evidence_test.c
@@ -494,6 +494,42 @@
   routed_fleet_close (&fleet);
 }
 
+/// Guards against a reader without others in its failure domain that learns of the new era from
+/// another daemon's copy, and goes on from its position in the old one.
+static void
+only_reader_adopts_copy_of_new_era (void)
+{
+  RoutedFleetCopy copy;
+
+  routed_fleet_open (&fleet, DOMAINS, DOMAINS);
+  routed_fleet_advance (&fleet, START_MS);
+  copy = routed_fleet_copy_store (&fleet);
+  for (unsigned i = 0; i < 6; i++)
+    routed_fleet_write_server (&fleet, "p3", false, false);
+  routed_fleet_configure (&fleet);
+  expect_in_time ("p3", TT_BACKEND_LIVE);
+  fleet.daemons[1].store = STORE_SILENT; // its watches wait on
+  routed_fleet_advance (&fleet, 50);
+  for (unsigned i = 0; i < ROUTED_FLEET_CALLS; i++)
+    fleet.daemons[1].calls[i].lost = true;
+  routed_fleet_restore_store (&fleet, &copy);
+  fleet.config_version += 3;
+  routed_fleet_configure (&fleet);
+  routed_fleet_write_server (&fleet, "p3", false, false);
+  routed_fleet_advance (&fleet, CHANGE_LIMIT_MS);
+  CU_ASSERT_EQUAL (fleet.daemons[1].routed.board->registry.point.era, fleet.era);
+  // A change that no other daemon can tell it of, at a revision below its old position.
+  fleet.daemons[0].store = fleet.daemons[2].store = STORE_LOSES;
+  routed_fleet_write_server (&fleet, "p1", true, false);
+  CU_ASSERT (fleet.revision < copy.revision + 7);
+  for (unsigned i = 0; i < 8; i++)
+    routed_fleet_write_server (&fleet, "p2", false, false);
+  fleet.daemons[1].store = STORE_SERVES;
+  routed_fleet_advance (&fleet, CHANGE_LIMIT_MS);
+  CU_ASSERT_EQUAL (state_at (1, "p1"), TT_BACKEND_LEAVING);
+  routed_fleet_close (&fleet);
+}
+
 /// Guards against a daemon that starts while the store is away, returns from a copy and is away
 /// again, and serves with what is old or not at all.
 static void
@@ -605,6 +641,7 @@
   { "live_server_is_used_again", live_server_is_used_again },
   { "server_came_in_lost_seconds", server_came_in_lost_seconds },
   { "readers_in_different_eras", readers_in_different_eras },
+  { "only_reader_adopts_copy_of_new_era", only_reader_adopts_copy_of_new_era },
   { "start_during_return", start_during_return },
   { "new_era_costs_few_calls", new_era_costs_few_calls },
   { "calm_cost_is_flat", calm_cost_is_flat },
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -219,6 +219,8 @@
   json_object_object_add (account, "ApiKeys", keys);
   json_object_array_add (accounts, account);
   json_object_object_add (spec, "Tenants", accounts);
+  json_object_put (soak->config_spec);
+  soak->config_spec = json_object_get (spec);
   soak_store_put (&soak->store, "config", "main", spec);
   soak->config_written_us = soak_now_us ();
 }
--- a/test/soak/history.c
+++ b/test/soak/history.c
@@ -17,7 +17,6 @@
 static SoakStoreCopy *copies[MAX_COPIES]; ///< a ring; the newest is at next_copy - 1
 static unsigned next_copy;
 static int64_t last_copy_us;
-static json_object *newest_config; ///< that the operator writes again after a return
 
 static void begin_fault (Soak *soak);
 
@@ -41,14 +40,12 @@
     begin_fault (soak);
 }
 
+/// Lets the operator write the newest version again.
 static void
 rewrite_configuration (Soak *soak, unsigned target)
 {
   (void) target;
-  if (newest_config == NULL)
-    return; // a newer one was written meanwhile
-  soak_store_put (&soak->store, "config", "main", newest_config);
-  newest_config = NULL;
+  soak_store_put (&soak->store, "config", "main", json_object_get (soak->config_spec));
   soak->config_written_us = soak_now_us ();
 }
 
@@ -85,8 +82,6 @@
 
   (void) target;
   soak->store.unavailable = false;
-  if (newest_config == NULL)
-    newest_config = soak_store_get_spec (&soak->store, "config", "main");
   soak_store_return_from_copy (&soak->store, copies[(next_copy - age) % MAX_COPIES]);
   for (unsigned i = 0; i < soak->daemon_count; i++)
     proxy_reset (soak->daemons[i].store_proxy);
--- a/test/soak/soak_defs.h
+++ b/test/soak/soak_defs.h
@@ -177,6 +177,7 @@
   SoakBackend backends[SOAK_BACKENDS];
   SoakStore store;
   uint64_t config_version;   ///< of the newest configuration
+  json_object *config_spec;  ///< of that configuration
   int64_t config_written_us; ///< when the store accepted it
   bool extra_route;          ///< whether the newest configuration has the route /extra/
   TtList request_buckets[SOAK_REQUEST_BUCKETS];
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -226,14 +226,6 @@
   store->era++;
 }
 
-json_object *
-soak_store_get_spec (SoakStore *store, const char *kind, const char *name)
-{
-  SoakObject *object = find_object (store, kind, name);
-
-  return object != NULL && !object->removed ? json_object_get (object->spec) : NULL;
-}
-
 void
 soak_store_compact (SoakStore *store)
 {
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -23,8 +23,5 @@
 /// revisions are given out again. Open watches are forgotten; the caller resets their connections.
 void soak_store_return_from_copy (SoakStore *store, const SoakStoreCopy *copy);
 
-/// Spec of an object, of which the caller owns a reference; NULL if there is none.
-json_object *soak_store_get_spec (SoakStore *store, const char *kind, const char *name);
-
 /// Responds to watches that have changes or whose wait time has expired. Called at every tick.
 void soak_store_tick (SoakStore *store);
