--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -7,6 +7,7 @@
 #define MAX_HEADER 65536
 #define MAX_BODY (1 << 20)
 #define READ_TIMEOUT_MS 60000
+#define MAX_CONNECTIONS (64 * SOAK_MAX_DAEMONS) ///< also those of calls whose answers are lost
 
 typedef struct WatchGuard WatchGuard;
 
@@ -359,7 +360,7 @@
 {
   SoakStore *store = &soak->store;
   TtHttpServerOptions options = { .address = "127.0.0.1",
-                                  .max_connections = 256,
+                                  .max_connections = MAX_CONNECTIONS,
                                   .max_body_bytes = MAX_BODY,
                                   .max_header_bytes = MAX_HEADER,
                                   .read_timeout_ms = READ_TIMEOUT_MS,
