fix(claim): claims wait until every owner has learned of a new era

Cause: a daemon calls the platform every 9 s at the latest, but a key without an entry was claimed after bounds.settle_ms (3 s): the owner of a lost claim might not have written it again by then. Found by writing the process test.

Change: the wait is 12 s, rewrites begin within a second. The platform's stand-in states eras, returns from its copy in a new one, and loses responses to watches; process-test.sh runs a grant around such a return.

--- a/src/tarragontrack/control/claim_era.c
+++ b/src/tarragontrack/control/claim_era.c
@@ -9,15 +9,11 @@
 #define RECORD_RETENTION_US (60 * TT_SECOND_US)
 #define MAX_RECORDS 4096 ///< the oldest one is replaced
 
-/// Part of the time in which no key is claimed within which the daemons begin their rewrites. The
-/// rest is for calls that fail.
-#define REWRITE_START_DIVISOR 2
-
-static int64_t
-settle_us (const TtBoard *board)
-{
-  return board->config.bounds.settle_ms * TT_MILLISECOND_US;
-}
+/// For this time in a new era, a key without an entry may have a claim that its owner has yet to
+/// write again. Each daemon calls the platform at least every 9 s and learns of the era by that.
+#define REWRITE_LIMIT_US (12 * TT_SECOND_US)
+/// The rewrites of one daemon begin within this time after it has learned of the era.
+#define REWRITE_SPREAD_US TT_SECOND_US
 
 static TtClaimRecord *
 find_record (const TtBoard *board, TtId128 key)
@@ -116,17 +112,14 @@
       set_rewrite (board, record, true);
       shard = tt_claim_shard_activate (board, record->entry.key, now_us);
       if (shard->waiting.count == 0)
-        shard->next_try_us
-            = now_us
-              + (int64_t) tt_rng_below (&board->rng,
-                                        1 + (uint64_t) settle_us (board) / REWRITE_START_DIVISOR);
+        shard->next_try_us = now_us + (int64_t) tt_rng_below (&board->rng, REWRITE_SPREAD_US);
     }
 }
 
 bool
 tt_claim_era_proves_absence (const TtBoard *board, int64_t now_us)
 {
-  return tt_evidence_era_age_us (board, now_us) >= settle_us (board);
+  return tt_evidence_era_age_us (board, now_us) >= REWRITE_LIMIT_US;
 }
 
 static bool
--- a/test/standin/common/platform_responder.c
+++ b/test/standin/common/platform_responder.c
@@ -167,6 +167,28 @@
   (void) snprintf (held->key, sizeof held->key, "%s", key);
 }
 
+/// Turns a held response into one that never arrives.
+static void
+lose_response (HeldResponse *held)
+{
+  held->key[0] = '\0';
+  held->status = 0;
+  held->due_ms = uv_now (held->responder->loop) + SILENT_MS;
+}
+
+void
+platform_responder_close_held (PlatformResponder *responder)
+{
+  TT_LIST_FOREACH (&responder->held, it)
+    {
+      HeldResponse *held = TT_CONTAINER_OF (it, HeldResponse, link);
+
+      held->key[0] = '\0';
+      held->status = 0;
+      held->due_ms = uv_now (responder->loop);
+    }
+}
+
 void
 platform_responder_notify_watches (PlatformResponder *responder, PlatformStore *store)
 {
@@ -180,6 +202,12 @@
       object = platform_store_find (store, held->key);
       if ((object != NULL ? object->version : 0) == held->version)
         continue;
+      if (responder->lose_watches > 0)
+        {
+          responder->lose_watches--;
+          lose_response (held);
+          continue;
+        }
       detach_response (held);
       if (object == NULL)
         platform_responder_send_now (held->request, 404, 0, NULL, 0);
--- a/test/standin/common/platform_responder.h
+++ b/test/standin/common/platform_responder.h
@@ -11,7 +11,8 @@
   uv_loop_t *loop;
   TtList held; ///< HeldResponse.link
   TtRng rng;
-  long delay_ms; ///< responses are delayed by half to one and a half times this
+  long delay_ms;         ///< responses are delayed by half to one and a half times this
+  uint32_t lose_watches; ///< number of upcoming responses to watches that are lost
 } PlatformResponder;
 
 void platform_responder_init (PlatformResponder *responder, uv_loop_t *loop, uint64_t seed);
@@ -37,5 +38,8 @@
 /// Responds to the watches whose object changed.
 void platform_responder_notify_watches (PlatformResponder *responder, PlatformStore *store);
 
+/// Closes the connections of all held responses.
+void platform_responder_close_held (PlatformResponder *responder);
+
 /// Sends the held responses that are due.
 void platform_responder_send_due (PlatformResponder *responder);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -9,9 +9,13 @@
 ///   slow_ms      responses are delayed by N/2 to 3N/2 ms; writes take effect immediately
 ///   rate         calls per second, a watch counted once; the excess gets a 429. 0 = no limit
 ///   write_rate   the same limit for PUT requests alone
+///   lose_watches the responses to the next N watches are lost: nothing more is sent there
+///   era          responses have Store-Era: N, which rises with each /control/restore. 0 = they do
+///   not
 /// POST /control/hosts sets the host list. POST /control/lag {"domain": D, "lag_ms": N} sets the
 /// delay with which readers in a failure domain see it. POST /control/save takes a snapshot of the
-/// objects, and /control/restore restores it. GET /control/stats returns counters.
+/// objects, and /control/restore restores it; with an era, it also closes all connections that
+/// wait. GET /control/stats returns counters.
 #include "common/platform_query.h"
 #include "common/platform_responder.h"
 #include <h2o/http1.h>
@@ -66,6 +70,7 @@
   uv_timer_t tick;
   PlatformStore store;
   PlatformResponder responder;
+  uint64_t era; ///< 0 = responses state none
   Outage outage;
   long lose_writes;
   double lose_fraction;
@@ -255,6 +260,10 @@
       platform.call_bucket.rate = json_object_get_double (value);
     else if (strcmp (key, "write_rate") == 0)
       platform.write_bucket.rate = json_object_get_double (value);
+    else if (strcmp (key, "lose_watches") == 0)
+      platform.responder.lose_watches = (uint32_t) json_object_get_int64 (value);
+    else if (strcmp (key, "era") == 0)
+      platform.era = json_object_get_uint64 (value);
   }
 }
 
@@ -310,6 +319,11 @@
   else if (strcmp (command, "restore") == 0)
     {
       platform_store_restore_snapshot (&platform.store);
+      if (platform.era > 0)
+        {
+          platform.era++;
+          platform_responder_close_held (&platform.responder);
+        }
       platform_responder_notify_watches (&platform.responder, &platform.store);
     }
   else
@@ -339,6 +353,18 @@
   return true;
 }
 
+static void
+add_era (h2o_req_t *request)
+{
+  char text[24];
+  int length = snprintf (text, sizeof text, "%llu", (unsigned long long) platform.era);
+  h2o_iovec_t era = h2o_strdup (&request->pool, text, (size_t) length);
+
+  if (platform.era > 0)
+    h2o_add_header_by_str (&request->pool, &request->res.headers, H2O_STRLIT ("store-era"), 0, NULL,
+                           era.base, era.len);
+}
+
 static int
 on_request (h2o_handler_t *handler, h2o_req_t *request)
 {
@@ -346,6 +372,7 @@
   bool get = h2o_memis (request->method.base, request->method.len, H2O_STRLIT ("GET"));
 
   (void) handler;
+  add_era (request);
   (void) snprintf (path, sizeof path, "%.*s", (int) request->path_normalized.len,
                    request->path_normalized.base);
   if (strncmp (path, "/control/", 9) == 0)
--- a/tools/process-test.sh
+++ b/tools/process-test.sh
@@ -196,6 +196,25 @@
 
 has_slots () { call "http://127.0.0.1:$((base + 31))/status" | grep -q '"free_slots": *[1-9]'; }
 
+control () { call -X POST -d "$2" "$platform_url/control/$1" > /dev/null; }
+eras () { call "http://127.0.0.1:$((base + 10 * $1 + 1))/metrics" | grep -q "^tarragontrack_store_eras_total $2"; }
+grant_runs () { post_grant "$1" "$2" > "$folder/grant" && grep -q '^HTTP/1.1 200' "$folder/grant"; }
+is_settled () { post_grant "$1" "$2" > "$folder/grant" && grep -qE '^HTTP/1.1 (200|409)' "$folder/grant"; }
+# Guards against a grant that runs twice because the store has lost its claim by returning from a copy.
+check_return_from_copy () {
+  control faults '{"era":1}'
+  for n in 2 3; do wait_for 'the daemon knows the era' eras "$n" 1; done
+  wait_for 'a grant runs in the era' grant_runs "$d2" key-era
+  wait_for 'a grant runs in the era' grant_runs "$d3" key-era-3
+  control save ''
+  grant_runs "$d2" key-copy || fail 'a grant runs before the return'
+  control restore ''
+  post_grant "$d3" key-copy > "$folder/grant" || true
+  wait_for 'the claim is written again' is_settled "$d3" key-copy
+  [ "$(executions key-copy)" = 1 ] || fail 'a grant whose claim the store lost ran again'
+  passed 'a grant whose claim the store has lost runs once'
+}
+
 check_load_generator () {
   # A new slot owner grants no slots for one lease duration.
   wait_for 'slots of engines are leased' has_slots
@@ -220,5 +239,6 @@
 check_kill
 check_pause
 check_reload
+check_return_from_copy
 check_drain
 echo 'process-test: passed'
