perf(evidence): ask for the first reader only when a copy is due

A reader looped over all daemons at each event to find out whether it confirms first. Change: the age is compared first. Result: the tests of the controllers pass.

--- a/src/tarragontrack/control/evidence.c
+++ b/src/tarragontrack/control/evidence.c
@@ -218,13 +218,15 @@
   return board->reader.reads_store;
 }
 
-int64_t
-tt_evidence_confirm_after_us (const TtBoard *board)
+bool
+tt_evidence_needs_confirmation (const TtBoard *board, TtStoreKind kind, int64_t now_us)
 {
   int64_t limit_us = tt_evidence_change_limit_us (board);
+  int64_t overdue_us = now_us - tt_evidence_confirmed_us (board, kind) - limit_us / CONFIRM_DIVISOR;
 
-  return limit_us / CONFIRM_DIVISOR
-         + (tt_evidence_confirms_first (board) ? 0 : limit_us / CONFIRM_DELAY_DIVISOR);
+  // The loop over all daemons is too costly for each event.
+  return overdue_us >= 0
+         && (overdue_us >= limit_us / CONFIRM_DELAY_DIVISOR || tt_evidence_confirms_first (board));
 }
 
 bool
--- a/src/tarragontrack/control/evidence.h
+++ b/src/tarragontrack/control/evidence.h
@@ -79,11 +79,11 @@
 /// Latest time at which the copy of a kind is known to have been complete.
 int64_t tt_evidence_confirmed_us (const TtBoard *board, TtStoreKind kind);
 
-/// tt_evidence_confirm_after_us - age at which a copy is confirmed by a call that returns at once
+/// tt_evidence_needs_confirmation - whether a copy is so old that a call has to confirm it
 ///
 /// NOTES      of all daemons that read the store, the one with the lowest id does so first. Its
 ///            statement confirms the copies of the others, if nothing has changed.
-int64_t tt_evidence_confirm_after_us (const TtBoard *board);
+bool tt_evidence_needs_confirmation (const TtBoard *board, TtStoreKind kind, int64_t now_us);
 
 /// True if this daemon reads the store and none with a lower id does.
 bool tt_evidence_confirms_first (const TtBoard *board);
--- a/src/tarragontrack/control/feed.c
+++ b/src/tarragontrack/control/feed.c
@@ -445,7 +445,7 @@
 {
   TtFeedStream *oldest = NULL;
   TtStoreKind oldest_kind = TT_STORE_CONFIG;
-  int64_t oldest_us = now_us - tt_evidence_confirm_after_us (board);
+  int64_t oldest_us = INT64_MAX;
 
   for (int kind = 0; kind < TT_STORE_KINDS; kind++)
     {
@@ -456,9 +456,10 @@
       if (stream->confirm_call_id != 0)
         return;
       if (stream->call_id == 0 || !stream->watch_waits || now_us < stream->next_confirm_us
-          || tt_evidence_confirmed_us (board, (TtStoreKind) kind) > oldest_us)
+          || tt_evidence_confirmed_us (board, (TtStoreKind) kind) >= oldest_us
+          || !tt_evidence_needs_confirmation (board, (TtStoreKind) kind, now_us))
         continue;
-      oldest_us = tt_evidence_confirmed_us (board, (TtStoreKind) kind) - 1;
+      oldest_us = tt_evidence_confirmed_us (board, (TtStoreKind) kind);
       oldest = stream;
       oldest_kind = (TtStoreKind) kind;
     }
